--- /dev/null
+++ b/Source/Basilvalvectl/main.cc
@@ -0,0 +1,351 @@
+// The operators' command line: talks to the admin address of any instance.
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "Core/Common/option_parser.h"
+#include "Core/Common/random.h"
+#include "Core/Document/service_document.h"
+#include "Core/Http/http_client.h"
+
+namespace basilvalve::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOkExit = 0;
+constexpr int kFailedExit = 1;
+constexpr int kUsageExit = 2;
+constexpr int kConflictExit = 3;
+constexpr int kUnknownExit = 4;
+constexpr int kUnreachableExit = 5;
+constexpr int kOkStatus = 200;
+constexpr size_t kMaxAnswerBytes = 64 << 20;
+constexpr size_t kChangeIdBytes = 16;
+
+struct Settings {
+  std::string admin = "127.0.0.1:9903";
+  std::string key;
+  std::string change;
+  int64_t base = -1;
+  int64_t timeout_ms = 5000;
+  bool json = false;
+  bool help = false;
+};
+
+/// What a verb gets: settings and its own arguments.
+struct Command {
+  Settings settings;
+  std::vector<std::string> arguments;
+};
+
+using Verb = int (*)(const Command&);
+
+/// One row of the table of verbs.
+struct VerbRow {
+  const char* name;
+  size_t arguments;
+  Verb run;
+  const char* help;
+};
+
+http::BufferedResponse Send(const Settings& settings, const std::string& method,
+                            const std::string& path, const std::string& query,
+                            const std::string& body) {
+  http::Endpoint endpoint;
+  http::ParseEndpoint(settings.admin, &endpoint);
+  http::Request request{method, path, query, {}, body};
+  if (!settings.key.empty()) {
+    request.headers.push_back({"Authorization", "Bearer " + settings.key});
+  }
+  std::chrono::milliseconds timeout(settings.timeout_ms);
+  return http::ExecuteBuffered(endpoint, request, {timeout, timeout, timeout},
+                               kMaxAnswerBytes);
+}
+
+int ReportFailure(const Settings& settings,
+                  const http::BufferedResponse& response) {
+  if (response.report.end != http::CallEnd::kComplete) {
+    std::fprintf(stderr, "basilvalvectl: %s: no answer: %s\n",
+                 settings.admin.c_str(), response.report.detail.c_str());
+    return kUnreachableExit;
+  }
+  json body = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  json error =
+      body.is_object() ? body.value("error", json::object()) : json::object();
+  if (settings.json) {
+    std::printf("%s\n", response.body.c_str());
+  }
+  std::fprintf(stderr, "basilvalvectl: %s (%d, %s): %s\n",
+               error.value("name", "error").c_str(),
+               error.value("code", response.status),
+               error.value("outcome", "unknown").c_str(),
+               error.value("message", response.body).c_str());
+  if (error.value("name", "") == "version_conflict") {
+    return kConflictExit;
+  }
+  return error.value("outcome", "") == "unknown" ? kUnknownExit : kFailedExit;
+}
+
+/// Sends a GET and prints the answer: as it is with --json, else by `print`.
+int Show(const Command& command, const std::string& path,
+         void (*print)(const json&)) {
+  http::BufferedResponse response = Send(command.settings, "GET", path, "", "");
+  if (!response.Is(kOkStatus)) {
+    return ReportFailure(command.settings, response);
+  }
+  if (command.settings.json) {
+    std::printf("%s\n", response.body.c_str());
+    return kOkExit;
+  }
+  print(json::parse(response.body, nullptr, /*allow_exceptions=*/false));
+  return kOkExit;
+}
+
+std::string ReadFile(const std::string& path, bool* ok) {
+  std::ifstream file(path);
+  *ok = file.good();
+  return {std::istreambuf_iterator<char>(file),
+          std::istreambuf_iterator<char>()};
+}
+
+std::string Text(const json& object, const char* field) {
+  auto it = object.find(field);
+  if (it == object.end()) {
+    return "-";
+  }
+  return it->is_string() ? it->get<std::string>() : it->dump();
+}
+
+void PrintDocument(const json& answer) {
+  std::printf("# version %s, change %s\n%s\n", Text(answer, "version").c_str(),
+              Text(answer, "change").c_str(),
+              answer["document"].dump(2).c_str());
+}
+
+void PrintHistory(const json& answer) {
+  for (const json& it : answer["versions"]) {
+    std::printf("version=%s change=%s parent=%s\n", Text(it, "version").c_str(),
+                Text(it, "change").c_str(), Text(it, "parent").c_str());
+  }
+}
+
+void PrintRows(const char* kind, const json& rows) {
+  for (const json& row : rows) {
+    std::printf("%s", kind);
+    for (auto it = row.begin(); it != row.end(); ++it) {
+      std::printf(" %s=%s", it.key().c_str(),
+                  Text(row, it.key().c_str()).c_str());
+    }
+    std::printf("\n");
+  }
+}
+
+void PrintStatus(const json& answer) {
+  std::printf(
+      "instance=%s region=%s draining=%s in_flight=%s store_reachable=%s\n",
+      Text(answer, "instance").c_str(), Text(answer, "region").c_str(),
+      Text(answer, "draining").c_str(), Text(answer, "in_flight").c_str(),
+      Text(answer, "store_reachable").c_str());
+  PrintRows("member", answer["members"]);
+  PrintRows("region", answer["regions"]);
+  PrintRows("upstream", answer["upstreams"]);
+  PrintRows("document", answer["documents"]);
+}
+
+void PrintEntries(const json& answer) { PrintRows("entry", answer["entries"]); }
+
+void PrintExplanation(const json& answer) {
+  std::printf("request=%s\n", Text(answer, "request").c_str());
+  for (const json& part : answer["instances"]) {
+    std::printf("instance=%s region=%s outcome=%s code=%s\n",
+                Text(part, "instance").c_str(), Text(part, "region").c_str(),
+                Text(part, "outcome").c_str(), Text(part, "code").c_str());
+    for (const json& it : part["steps"]) {
+      std::printf("  +%sus %s: %s %s\n", Text(it, "at_us").c_str(),
+                  Text(it, "filter").c_str(), Text(it, "decision").c_str(),
+                  Text(it, "reason").c_str());
+    }
+  }
+}
+
+int Validate(const Command& command) {
+  bool ok = false;
+  std::string text = ReadFile(command.arguments[0], &ok);
+  if (!ok) {
+    std::fprintf(stderr, "basilvalvectl: cannot read %s\n",
+                 command.arguments[0].c_str());
+    return kUsageExit;
+  }
+  Result<document::ServiceDocument> document =
+      document::ParseServiceDocument(text);
+  if (!document) {
+    std::fprintf(stderr, "basilvalvectl: %s\n",
+                 document.error().message.c_str());
+    return kFailedExit;
+  }
+  if (command.settings.json) {
+    std::printf("%s\n",
+                json{{"valid", true}, {"service", document->name.value()}}
+                    .dump()
+                    .c_str());
+  } else {
+    std::printf("valid service=%s\n", document->name.value().c_str());
+  }
+  return kOkExit;
+}
+
+int Apply(const Command& command) {
+  int valid = Validate({{}, command.arguments});
+  if (valid != kOkExit) {
+    return valid;
+  }
+  if (command.settings.base < 0) {
+    std::fprintf(
+        stderr,
+        "basilvalvectl: --base: the version that was edited is required\n");
+    return kUsageExit;
+  }
+  bool ok = false;
+  std::string text = ReadFile(command.arguments[0], &ok);
+  std::string name = document::ParseServiceDocument(text)->name.value();
+  std::string change = command.settings.change;
+  if (change.empty()) {
+    change = Random(ProcessSeed()).HexId().substr(0, kChangeIdBytes);
+  }
+  std::string query =
+      "base=" + std::to_string(command.settings.base) + "&change=" + change;
+  http::BufferedResponse response =
+      Send(command.settings, "PUT", "/v1/documents/" + name, query, text);
+  if (!response.Is(kOkStatus)) {
+    int code = ReportFailure(command.settings, response);
+    if (code == kUnknownExit || code == kUnreachableExit) {
+      std::fprintf(
+          stderr, "basilvalvectl: to settle it, apply again with --change %s\n",
+          change.c_str());
+      return kUnknownExit;
+    }
+    return code;
+  }
+  json record = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  if (command.settings.json) {
+    std::printf("%s\n", response.body.c_str());
+  } else {
+    std::printf("accepted service=%s version=%s change=%s\n", name.c_str(),
+                Text(record, "version").c_str(),
+                Text(record, "change").c_str());
+  }
+  return kOkExit;
+}
+
+int Get(const Command& command) {
+  return Show(command, "/v1/documents/" + command.arguments[0], &PrintDocument);
+}
+
+int History(const Command& command) {
+  return Show(command, "/v1/history/" + command.arguments[0], &PrintHistory);
+}
+
+int Status(const Command& command) {
+  return Show(command, "/v1/status", &PrintStatus);
+}
+
+int Entries(const Command& command) {
+  return Show(command, "/v1/entries", &PrintEntries);
+}
+
+int Explain(const Command& command) {
+  return Show(command, "/v1/explain/" + command.arguments[0],
+              &PrintExplanation);
+}
+
+int Drain(const Command& command) {
+  http::BufferedResponse response =
+      Send(command.settings, "POST", "/v1/drain", "", "");
+  if (!response.Is(kOkStatus)) {
+    return ReportFailure(command.settings, response);
+  }
+  std::printf("%s\n",
+              command.settings.json ? response.body.c_str() : "draining");
+  return kOkExit;
+}
+
+constexpr VerbRow kVerbs[] = {
+    {"validate", 1, &Validate,
+     "FILE      check a document, without any instance"},
+    {"apply", 1, &Apply, "FILE      make a document current; needs --base"},
+    {"get", 1, &Get, "SERVICE   show the document in force"},
+    {"history", 1, &History, "SERVICE   list the versions that led to it"},
+    {"status", 0, &Status,
+     "          show members, regions, upstreams and documents"},
+    {"entries", 0, &Entries,
+     "          show the entries that callers are told"},
+    {"explain", 1, &Explain, "REQUEST   show what was decided about a request"},
+    {"drain", 0, &Drain, "          stop the instance gracefully"},
+};
+
+std::string HelpText(const OptionParser& parser) {
+  std::string text = parser.Help() + "\nverbs:\n";
+  for (const VerbRow& it : kVerbs) {
+    text += "  " + std::string(it.name) + " " + it.help + "\n";
+  }
+  text +=
+      "\nexit codes: 0 done, 1 refused, 2 usage, 3 version conflict, 4 outcome "
+      "unknown, "
+      "5 no answer\n";
+  return text;
+}
+
+int Main(int argc, char** argv) {
+  Settings settings;
+  OptionParser parser(
+      "basilvalvectl", "VERB [ARGUMENT] [flags]",
+      {{"admin", "ip:port", "127.0.0.1:9903", "Admin address of an instance.",
+        SetText(&settings.admin)},
+       {"admin-key", "text", "", "Bearer key for changing verbs.",
+        SetText(&settings.key)},
+       {"base", "version", "",
+        "Version the document was edited from; 0 for a new one.",
+        SetNumber(&settings.base, 0, INT64_MAX)},
+       {"change", "id", "",
+        "Change id; give the same one again to settle a lost reply.",
+        SetText(&settings.change)},
+       {"timeout-ms", "ms", "5000", "Longest wait for an answer.",
+        SetNumber(&settings.timeout_ms, 1, 600000)},
+       {"json", "", "false", "Print JSON.", SetFlag(&settings.json), true},
+       {"help", "", "false", "Print this text.", SetFlag(&settings.help),
+        true}});
+  Result<std::vector<std::string>> arguments = parser.Parse(argc, argv);
+  if (!arguments) {
+    std::fprintf(stderr, "basilvalvectl: %s\n",
+                 arguments.error().message.c_str());
+    return kUsageExit;
+  }
+  if (settings.help) {
+    std::fputs(HelpText(parser).c_str(), stdout);
+    return kOkExit;
+  }
+  std::string verb = arguments->empty() ? "" : arguments->front();
+  auto row =
+      std::find_if(std::begin(kVerbs), std::end(kVerbs),
+                   [&verb](const VerbRow& it) { return verb == it.name; });
+  if (row == std::end(kVerbs) || arguments->size() != row->arguments + 1) {
+    std::fprintf(stderr,
+                 "basilvalvectl: unknown verb or wrong number of arguments\n%s",
+                 HelpText(parser).c_str());
+    return kUsageExit;
+  }
+  arguments->erase(arguments->begin());
+  return row->run({settings, *arguments});
+}
+
+}  // namespace
+}  // namespace basilvalve::ctl
+
+int main(int argc, char** argv) { return basilvalve::ctl::Main(argc, argv); }
--- /dev/null
+++ b/Source/Basilvalved/main.cc
@@ -0,0 +1,84 @@
+// The daemon: parses settings, starts one instance and stops it on a signal.
+#include <csignal>
+#include <cstdio>
+#include <thread>
+
+#include "Core/Common/log.h"
+#include "Core/Gateway/node.h"
+
+namespace basilvalve {
+namespace {
+
+constexpr int kSettingExit = 2;
+constexpr int kCutOffExit = 3;
+
+int Fault(const Error& error) {
+  std::fprintf(stderr, "basilvalved: %s\n", error.message.c_str());
+  return kSettingExit;
+}
+
+/// Blocks the signals that stop the daemon in every thread started later.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int Run(const gateway::NodeSettings& settings) {
+  sigset_t signals = BlockStopSignals();
+  Result<std::unique_ptr<gateway::Node>> node =
+      gateway::Node::Start(settings, gateway::Node::HttpPlatform(settings));
+  if (!node) {
+    return Fault(node.error());
+  }
+  std::thread waiter([&signals, raw = node->get()] {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    raw->BeginDrain();
+  });
+  bool finished = (*node)->AwaitDrained();
+  // A drain asked for over the admin address leaves the waiter in sigwait.
+  pthread_kill(waiter.native_handle(), SIGTERM);
+  waiter.join();
+  node->reset();
+  return finished ? 0 : kCutOffExit;
+}
+
+int Main(int argc, char** argv) {
+  gateway::NodeSettings settings;
+  OptionParser parser("basilvalved", "[flags]",
+                      gateway::NodeOptions(&settings));
+  Result<std::vector<std::string>> rest = parser.Parse(argc, argv);
+  if (!rest) {
+    return Fault(rest.error());
+  }
+  if (!rest->empty()) {
+    return Fault(MakeError(ResultCode::kSettingInvalid,
+                           rest->front() + ": unexpected argument"));
+  }
+  if (settings.help || settings.print_settings) {
+    std::fputs(
+        settings.help ? parser.Help().c_str() : parser.Markdown().c_str(),
+        stdout);
+    return 0;
+  }
+  Result<void> checked = gateway::CheckNodeSettings(settings);
+  if (!checked) {
+    return Fault(checked.error());
+  }
+  if (settings.check) {
+    std::puts("settings are valid");
+    return 0;
+  }
+  InitLogging(gateway::LogLevelOf(settings));
+  return Run(settings);
+}
+
+}  // namespace
+}  // namespace basilvalve
+
+int main(int argc, char** argv) { return basilvalve::Main(argc, argv); }
--- /dev/null
+++ b/Source/Core/Common/strong_id.h
@@ -0,0 +1,79 @@
+// Strong string and number types, so that ids and units cannot be mixed up.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace basilvalve {
+
+/// An identifier held as text. Tag makes two kinds of identifier distinct
+/// types.
+template <typename Tag>
+class StrongString {
+ public:
+  StrongString() = default;
+  explicit StrongString(std::string value) : value_(std::move(value)) {}
+
+  /// Thread safe for concurrent readers. No preconditions.
+  const std::string& value() const { return value_; }
+  /// Thread safe for concurrent readers. No preconditions.
+  bool empty() const { return value_.empty(); }
+
+  auto operator<=>(const StrongString&) const = default;
+
+ private:
+  std::string value_;
+};
+
+/// An integer with a meaning. Tag makes two quantities distinct types.
+template <typename Tag>
+class StrongNumber {
+ public:
+  constexpr StrongNumber() = default;
+  constexpr explicit StrongNumber(uint64_t value) : value_(value) {}
+
+  /// Thread safe for concurrent readers. No preconditions.
+  constexpr uint64_t value() const { return value_; }
+
+  constexpr auto operator<=>(const StrongNumber&) const = default;
+
+ private:
+  uint64_t value_ = 0;
+};
+
+using RegionId = StrongString<struct RegionTag>;
+using InstanceId = StrongString<struct InstanceTag>;
+using UpstreamId = StrongString<struct UpstreamTag>;
+using CustomerId = StrongString<struct CustomerTag>;
+using ServiceName = StrongString<struct ServiceTag>;
+using ModelName = StrongString<struct ModelTag>;
+using RequestId = StrongString<struct RequestTag>;
+using ChangeId = StrongString<struct ChangeTag>;
+
+/// Counts the starts of one instance; a later start has a higher number.
+using Incarnation = StrongNumber<struct IncarnationTag>;
+/// Version of a service document; it only rises.
+using DocumentVersion = StrongNumber<struct DocumentVersionTag>;
+/// Number of a message or ticket within one incarnation.
+using Sequence = StrongNumber<struct SequenceTag>;
+/// Modification index of the key-value service.
+using StoreIndex = StrongNumber<struct StoreIndexTag>;
+
+}  // namespace basilvalve
+
+template <typename Tag>
+struct std::hash<basilvalve::StrongString<Tag>> {
+  size_t operator()(const basilvalve::StrongString<Tag>& id) const {
+    return std::hash<std::string>()(id.value());
+  }
+};
+
+template <typename Tag>
+struct std::hash<basilvalve::StrongNumber<Tag>> {
+  size_t operator()(const basilvalve::StrongNumber<Tag>& number) const {
+    return std::hash<uint64_t>()(number.value());
+  }
+};
--- /dev/null
+++ b/Source/Core/Gateway/admin_api.h
@@ -0,0 +1,60 @@
+// The HTTP interface for operators and monitoring.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Core/Gateway/document_sync.h"
+#include "Core/Gateway/entry_advisor.h"
+#include "Core/Gateway/explain.h"
+#include "Core/Http/http_server.h"
+
+namespace basilvalve::gateway {
+
+/// Handles requests on the admin address. Thread safe.
+class AdminApi : public http::Handler {
+ public:
+  /// `drain` starts a graceful stop and returns at once.
+  AdminApi(const NodeParts* parts, DocumentSync* sync,
+           const EntryAdvisor* advisor, Explainer* explainer,
+           std::function<void()> drain);
+
+  void Handle(http::Exchange* exchange) override;
+
+ private:
+  using Method = void (AdminApi::*)(http::Exchange*, const std::string& rest);
+
+  /// One row of the table of calls; a path ending in '/' takes a rest.
+  struct Route {
+    const char* method;
+    const char* path;
+    Method handle;
+    /// Needs the admin key.
+    bool changes;
+  };
+
+  static const std::vector<Route>& Routes();
+
+  void GetHealth(http::Exchange* exchange, const std::string& rest);
+  void GetReady(http::Exchange* exchange, const std::string& rest);
+  void GetMetrics(http::Exchange* exchange, const std::string& rest);
+  void GetStatus(http::Exchange* exchange, const std::string& rest);
+  void GetDocuments(http::Exchange* exchange, const std::string& rest);
+  void GetDocument(http::Exchange* exchange, const std::string& rest);
+  void PutDocument(http::Exchange* exchange, const std::string& rest);
+  void GetHistory(http::Exchange* exchange, const std::string& rest);
+  void PostValidate(http::Exchange* exchange, const std::string& rest);
+  void GetExplain(http::Exchange* exchange, const std::string& rest);
+  void GetEntries(http::Exchange* exchange, const std::string& rest);
+  void PostDrain(http::Exchange* exchange, const std::string& rest);
+  bool MayChange(const http::Request& request) const;
+
+  const NodeParts* parts_;
+  DocumentSync* sync_;
+  const EntryAdvisor* advisor_;
+  Explainer* explainer_;
+  std::function<void()> drain_;
+};
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/call_runner.cc
@@ -0,0 +1,235 @@
+#include "Core/Gateway/call_runner.h"
+
+#include <algorithm>
+
+#include "Core/Common/hash.h"
+#include "Core/Gateway/cluster.h"
+#include "Core/Routing/prefix_index.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+constexpr size_t kMaxPrefixBlocks = 64;
+// An attempt that would start with less time than this is not worth making.
+constexpr Millis kMinRetryTime{50};
+
+std::vector<uint32_t> HandlesOf(
+    const std::vector<routing::Candidate>& candidates) {
+  std::vector<uint32_t> handles;
+  handles.reserve(candidates.size());
+  for (const routing::Candidate& it : candidates) {
+    handles.push_back(it.handle);
+  }
+  return handles;
+}
+
+/// The summary's figure for a model; nullopt if the region has no upstream for
+/// it.
+std::optional<Micros> FirstTokenOf(const membership::RegionSummary& summary,
+                                   const ModelName& model) {
+  for (const membership::ModelSummary& it : summary.models) {
+    if (it.model == model && it.upstreams > 0) {
+      return Millis(it.first_token_ms);
+    }
+  }
+  return std::nullopt;
+}
+
+bool Contains(const std::vector<RegionId>& regions, const RegionId& region) {
+  return std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+}  // namespace
+
+std::vector<routing::RemoteOption> CallRunner::RemoteOptions(
+    const Call& call, const Attempts& attempts) {
+  std::vector<routing::RemoteOption> options;
+  if (call.origin == CallOrigin::kOtherRegion) {
+    return options;
+  }
+  for (const membership::RegionView& it : parts_->cluster->Regions()) {
+    const RegionId& region = it.summary.region;
+    bool barred = !call.record->document.Permits(region) ||
+                  it.summary.contacts.empty() ||
+                  Contains(attempts.tried_regions, region) ||
+                  Contains(call.regions, region);
+    if (barred) {
+      continue;
+    }
+    std::optional<Micros> first_token;
+    if (call.is_model) {
+      first_token = FirstTokenOf(it.summary, call.model);
+    } else if (std::find(it.summary.services.begin(), it.summary.services.end(),
+                         call.service) != it.summary.services.end()) {
+      first_token = Micros(0);
+    }
+    if (first_token) {
+      options.push_back({region, *first_token,
+                         Millis(parts_->settings->link_delay_ms), it.returned});
+    }
+  }
+  return options;
+}
+
+routing::RouteDecision CallRunner::DecidePlain(const Call& call,
+                                               routing::RouteInput* input) {
+  routing::RouteDecision decision;
+  if (!input->local.empty()) {
+    auto least = std::min_element(input->local.begin(), input->local.end(),
+                                  [](const auto& a, const auto& b) {
+                                    return a.own_in_flight < b.own_in_flight;
+                                  });
+    decision.kind = routing::RouteKind::kLocal;
+    decision.index = static_cast<size_t>(least - input->local.begin());
+    return decision;
+  }
+  if (input->remote.empty()) {
+    return decision;
+  }
+  // The home region first, where the service's data is.
+  auto home = std::find_if(
+      input->remote.begin(), input->remote.end(),
+      [&](const auto& it) { return it.region == call.record->document.home; });
+  decision.kind = routing::RouteKind::kRemote;
+  decision.index = home == input->remote.end()
+                       ? 0
+                       : static_cast<size_t>(home - input->remote.begin());
+  return decision;
+}
+
+routing::RouteDecision CallRunner::Decide(const Call& call,
+                                          const Attempts& attempts,
+                                          routing::RouteInput* input) {
+  Instant now = parts_->clock->Now();
+  input->now = now;
+  input->remote = RemoteOptions(call, attempts);
+  if (!call.is_model) {
+    input->local =
+        parts_->upstreams->ServiceCandidates(call.service, attempts.tried, now);
+    return DecidePlain(call, input);
+  }
+  input->local =
+      parts_->upstreams->ModelCandidates(call.model, attempts.tried, now);
+  std::vector<uint64_t> blocks =
+      routing::PrefixBlocks(call.prompt, kMaxPrefixBlocks);
+  std::vector<double> cached;
+  parts_->prefixes->Match(blocks, HandlesOf(input->local), &cached);
+  for (size_t i = 0; i < input->local.size(); ++i) {
+    input->local[i].cached_tokens = cached[i];
+  }
+  input->prompt.tokens =
+      static_cast<double>(call.prompt.size()) / routing::kBytesPerToken;
+  input->prefix_hash = blocks.empty() ? Hash64(call.prompt) : blocks.front();
+  input->body_bytes = static_cast<double>(call.body.size());
+  input->target = call.record->document.targets.first_token;
+  input->remaining = call.Remaining(now);
+  input->instances = parts_->cluster->Live().size();
+  input->may_leave = call.origin != CallOrigin::kOtherRegion;
+  routing::RouteDecision decision = parts_->router->Route(*input);
+  if (decision.kind == routing::RouteKind::kLocal) {
+    parts_->prefixes->Insert(blocks, input->local[decision.index].handle);
+    parts_->metrics->CountPromptTokens(
+        static_cast<uint64_t>(input->prompt.tokens),
+        static_cast<uint64_t>(decision.cached_tokens));
+  }
+  return decision;
+}
+
+CallEnd CallRunner::RunOnce(const Call& call, Attempts* attempts,
+                            AnswerSink* sink) {
+  routing::RouteInput input;
+  routing::RouteDecision decision = Decide(call, *attempts, &input);
+  uint32_t attempt = ++attempts->made;
+  if (decision.kind == routing::RouteKind::kRefuse) {
+    parts_->journal->Step(call.id, "route", "refuse", decision.Reason());
+    CallEnd end = EndOf(
+        MakeError(decision.refusal, "no upstream can serve the call in time"));
+    end.retry_after = decision.retry_after;
+    return end;
+  }
+  if (decision.kind == routing::RouteKind::kRemote) {
+    const RegionId& region = input.remote[decision.index].region;
+    attempts->tried_regions.push_back(region);
+    std::optional<membership::MemberInfo> contact =
+        parts_->cluster->ContactIn(region, Hash64(call.id.value()));
+    if (!contact) {
+      return EndOf(MakeError(ResultCode::kNoUpstream,
+                             "the other region has no contact"));
+    }
+    parts_->journal->Step(call.id, "route", "forward " + contact->id.value(),
+                          decision.Reason());
+    parts_->metrics->CountSentAway();
+    return peer_caller_->Run(call, *contact, peer::Purpose::kRun, attempt,
+                             sink);
+  }
+  const routing::Candidate& chosen = input.local[decision.index];
+  attempts->tried.push_back(chosen.handle);
+  parts_->journal->Step(call.id, "route",
+                        "local " + std::to_string(chosen.handle),
+                        decision.Reason());
+  LocalPlan plan{chosen.handle, decision.predicted_local,
+                 std::max(0.0, input.prompt.tokens - chosen.cached_tokens)};
+  return upstream_caller_.Run(call, plan, attempt, sink);
+}
+
+bool CallRunner::MayRetry(const Call& call, const Attempts& attempts,
+                          const CallEnd& end, AnswerSink* sink) {
+  if (end.begun || end.outcome == Outcome::kDone || sink->Gone()) {
+    return false;
+  }
+  // After a possible send only an idempotent call is repeated, and only by the
+  // instance where it entered, so that two layers do not multiply the attempts.
+  bool safe = end.outcome == Outcome::kNotRun;
+  bool repeatable = call.idempotent && call.origin == CallOrigin::kCaller;
+  if (!safe && !repeatable) {
+    return false;
+  }
+  // A refusal by the contract would be the same the next time.
+  bool worthwhile = end.code == ResultCode::kUpstreamFailed ||
+                    end.code == ResultCode::kNoUpstream ||
+                    end.code == ResultCode::kPeerLost ||
+                    end.code == ResultCode::kPeerRefused ||
+                    end.code == ResultCode::kOverloaded ||
+                    end.code == ResultCode::kDraining ||
+                    end.code == ResultCode::kNoDocument;
+  bool time_left = call.Remaining(parts_->clock->Now()) > kMinRetryTime;
+  bool attempts_left =
+      attempts.made < static_cast<uint32_t>(parts_->settings->max_attempts);
+  return worthwhile && time_left && attempts_left &&
+         parts_->retries->TryTake(call.service, parts_->clock->Now());
+}
+
+CallEnd CallRunner::RunAttempts(const Call& call, AnswerSink* sink) {
+  Attempts attempts;
+  parts_->retries->OnFirstAttempt(call.service, parts_->clock->Now());
+  while (true) {
+    CallEnd end = RunOnce(call, &attempts, sink);
+    attempts.any_unknown =
+        attempts.any_unknown || end.outcome == Outcome::kUnknown;
+    if (!MayRetry(call, attempts, end, sink)) {
+      if (end.outcome == Outcome::kNotRun && attempts.any_unknown) {
+        // An earlier attempt may have run, whatever became of the last one.
+        end.outcome = Outcome::kUnknown;
+      }
+      return end;
+    }
+    parts_->metrics->CountRetry();
+    parts_->journal->Step(call.id, "retry", "again", end.message);
+  }
+}
+
+CallEnd CallRunner::Run(const Call& call, AnswerSink* sink) {
+  const document::ServiceDocument& document = call.record->document;
+  Result<void> entered =
+      parts_->shares->Enter(document.customer, document.limits.concurrent);
+  parts_->journal->Step(call.id, "admit", entered ? "pass" : "refuse",
+                        entered ? "" : entered.error().message);
+  if (!entered) {
+    return EndOf(entered.error());
+  }
+  CallEnd end = RunAttempts(call, sink);
+  parts_->shares->Leave(document.customer);
+  return end;
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/call_runner.h
@@ -0,0 +1,48 @@
+// Chooses where a call runs, runs it, and tries again where that is allowed.
+#pragma once
+
+#include <vector>
+
+#include "Core/Gateway/call.h"
+#include "Core/Gateway/node_parts.h"
+#include "Core/Gateway/peer_caller.h"
+#include "Core/Gateway/upstream_caller.h"
+
+namespace basilvalve::gateway {
+
+/// Runs calls that have passed the filters. Thread safe.
+class CallRunner {
+ public:
+  CallRunner(const NodeParts* parts, PeerCaller* peer_caller)
+      : parts_(parts), peer_caller_(peer_caller), upstream_caller_(parts) {}
+
+  /// Admits and runs a call. The outcome over all attempts is kNotRun only if
+  /// every attempt's was. Thread safe; blocks until the call has ended.
+  CallEnd Run(const Call& call, AnswerSink* sink);
+
+ private:
+  /// What earlier attempts of the call left behind.
+  struct Attempts {
+    uint32_t made = 0;
+    std::vector<uint32_t> tried;
+    std::vector<RegionId> tried_regions;
+    bool any_unknown = false;
+  };
+
+  CallEnd RunAttempts(const Call& call, AnswerSink* sink);
+  CallEnd RunOnce(const Call& call, Attempts* attempts, AnswerSink* sink);
+  routing::RouteDecision Decide(const Call& call, const Attempts& attempts,
+                                routing::RouteInput* input);
+  routing::RouteDecision DecidePlain(const Call& call,
+                                     routing::RouteInput* input);
+  std::vector<routing::RemoteOption> RemoteOptions(const Call& call,
+                                                   const Attempts& attempts);
+  bool MayRetry(const Call& call, const Attempts& attempts, const CallEnd& end,
+                AnswerSink* sink);
+
+  const NodeParts* parts_;
+  PeerCaller* peer_caller_;
+  UpstreamCaller upstream_caller_;
+};
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/caller_api.cc
@@ -0,0 +1,231 @@
+#include "Core/Gateway/caller_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Core/Common/log.h"
+#include "Core/Gateway/request_parser.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kOutcomePrefix = "/v1/outcomes/";
+constexpr int kOk = 200;
+
+/// Hands an answer to the caller: piece by piece for an event stream, else as a
+/// whole once it is known to be whole.
+class ExchangeSink : public AnswerSink {
+ public:
+  ExchangeSink(http::Exchange* exchange, http::Headers headers,
+               size_t max_bytes)
+      : exchange_(exchange),
+        headers_(std::move(headers)),
+        max_bytes_(max_bytes) {}
+
+  bool Begin(const peer::AnswerHead& head) override {
+    head_ = head;
+    streaming_ = head.content_type.starts_with("text/event-stream");
+    if (!streaming_) {
+      return true;
+    }
+    http::Headers headers = headers_;
+    headers.push_back({"Content-Type", head.content_type});
+    headers.push_back({"Basilvalve-Region", head.region.value()});
+    began_stream_ = true;
+    return exchange_->BeginStream(head.status, headers);
+  }
+
+  bool Piece(std::string_view piece) override {
+    if (streaming_) {
+      return exchange_->WriteStream(piece);
+    }
+    body_.append(piece);
+    too_large_ = too_large_ || body_.size() > max_bytes_;
+    return !too_large_;
+  }
+
+  bool Gone() override { return too_large_ || exchange_->PeerGone(); }
+
+  /// Ends a whole answer. `final_headers` replace those of a stream's
+  /// beginning.
+  void FinishWhole(http::Headers final_headers) {
+    if (streaming_) {
+      exchange_->EndStream();
+      return;
+    }
+    final_headers.push_back({"Content-Type", head_.content_type});
+    final_headers.push_back({"Basilvalve-Region", head_.region.value()});
+    exchange_->Reply(head_.status, final_headers, body_);
+  }
+
+  /// Ends a stream that broke: an error event in place of the final one.
+  void FinishBroken(const std::string& error_json) {
+    exchange_->WriteStream("event: error\ndata: " + error_json + "\n\n");
+    exchange_->EndStream();
+  }
+
+  bool began_stream() const { return began_stream_; }
+  bool too_large() const { return too_large_; }
+
+ private:
+  http::Exchange* exchange_;
+  http::Headers headers_;
+  size_t max_bytes_;
+  peer::AnswerHead head_;
+  std::string body_;
+  bool streaming_ = false;
+  bool began_stream_ = false;
+  bool too_large_ = false;
+};
+
+json ErrorJson(const CallEnd& end) {
+  const ResultCodeRow& row = RowOf(end.code);
+  return {{"error",
+           {{"code", static_cast<int>(end.code)},
+            {"name", row.name},
+            {"outcome", OutcomeName(end.outcome)},
+            {"message", end.message}}}};
+}
+
+json EntriesJson(const std::vector<EntryAdvice>& entries) {
+  json list = json::array();
+  for (const EntryAdvice& it : entries) {
+    list.push_back({{"instance", it.instance.value()},
+                    {"address", it.endpoint.Text()},
+                    {"weight", it.weight}});
+  }
+  return list;
+}
+
+}  // namespace
+
+http::Headers CallerApi::ResponseHeaders(const RequestId& request,
+                                         Outcome outcome,
+                                         ResultCode code) const {
+  return {{"Basilvalve-Request-Id", request.value()},
+          {"Basilvalve-Outcome", std::string(OutcomeName(outcome))},
+          {"Basilvalve-Code", std::to_string(static_cast<int>(code))}};
+}
+
+void CallerApi::ReplyError(http::Exchange* exchange, const RequestId& request,
+                           const CallEnd& end) {
+  http::Headers headers = ResponseHeaders(request, end.outcome, end.code);
+  headers.push_back({"Content-Type", "application/json"});
+  if (end.retry_after.count() > 0) {
+    constexpr int64_t kMsPerSecond = 1000;
+    int64_t seconds =
+        (end.retry_after.count() + kMsPerSecond - 1) / kMsPerSecond;
+    headers.push_back({"Retry-After", std::to_string(seconds)});
+  }
+  json body = ErrorJson(end);
+  if (end.code == ResultCode::kDraining) {
+    body["error"]["entries"] = EntriesJson(advisor_->RegionEntries());
+  }
+  exchange->Reply(RowOf(end.code).http_status, headers, body.dump());
+}
+
+CallEnd CallerApi::RunCall(Call* call, AnswerSink* sink) {
+  Result<void> passed = filters_.Apply(call);
+  if (!passed) {
+    return EndOf(passed.error());
+  }
+  return call->idempotent ? runner_->Run(*call, sink) : gate_->Run(*call, sink);
+}
+
+void CallerApi::HandleCall(http::Exchange* exchange) {
+  Result<Call> parsed = ParseCall(*exchange, *parts_);
+  if (!parsed) {
+    RequestId none;
+    parts_->metrics->CountRequest(parsed.error().code, parsed.error().outcome);
+    ReplyError(exchange, none, EndOf(parsed.error()));
+    return;
+  }
+  Call call = std::move(*parsed);
+  parts_->journal->Begin(call.id, call.service.value());
+  // The outcome of a stream is not known when its headers are sent; it is
+  // running then.
+  ExchangeSink sink(
+      exchange, ResponseHeaders(call.id, Outcome::kRunning, ResultCode::kOk),
+      static_cast<size_t>(parts_->settings->max_answer_bytes));
+  CallEnd end = RunCall(&call, &sink);
+  if (sink.too_large()) {
+    end = EndOf(MakeError(ResultCode::kAnswerTruncated,
+                          "the answer exceeds the limit"));
+  }
+  // Recorded before the caller can act on the answer and ask after it.
+  parts_->journal->End(call.id, end.outcome, end.code);
+  parts_->metrics->CountRequest(end.code, end.outcome);
+  if (end.outcome == Outcome::kDone && end.code == ResultCode::kOk) {
+    sink.FinishWhole(ResponseHeaders(call.id, end.outcome, end.code));
+  } else if (sink.began_stream()) {
+    sink.FinishBroken(ErrorJson(end).dump());
+  } else {
+    ReplyError(exchange, call.id, end);
+  }
+  Micros took = parts_->clock->Now() - call.arrived;
+  observe::LogSpan(call.trace, "entry", call.id.value(), took,
+                   RowOf(end.code).name);
+  LogEvent(LogLevel::kInfo, "caller", "request")
+      .With("request_id", call.id.value())
+      .With("service", call.service.value())
+      .With("caller", call.caller_label)
+      .With("outcome", OutcomeName(end.outcome))
+      .With("code", static_cast<int64_t>(end.code))
+      .With("duration_us", took.count());
+}
+
+void CallerApi::HandleEntry(http::Exchange* exchange) {
+  ServiceName service(http::QueryValue(exchange->request().query, "service"));
+  document::RecordPtr record = parts_->catalog->Find(service);
+  if (record == nullptr) {
+    bool none = parts_->catalog->Digest().empty();
+    ReplyError(exchange, RequestId(),
+               EndOf(MakeError(
+                   none ? ResultCode::kNoDocument : ResultCode::kUnknownService,
+                   "no document of the service is in force here")));
+    return;
+  }
+  json body = {{"service", service.value()},
+               {"region", parts_->region.value()},
+               {"valid_s", parts_->settings->entry_validity_s},
+               {"entries", EntriesJson(advisor_->Advise(record->document))}};
+  bool may_issue =
+      record->document.Permits(parts_->region) && !parts_->draining->load();
+  Result<Sequence> sequence = may_issue
+                                  ? parts_->tickets->Issue(parts_->clock->Now())
+                                  : Fail(ResultCode::kDraining, "");
+  if (sequence) {
+    claims::Ticket ticket{parts_->region, parts_->self, parts_->incarnation,
+                          *sequence, service};
+    body["ticket"] = claims::FormatTicket(ticket, *parts_->keyring);
+    body["ticket_valid_s"] = parts_->settings->ticket_validity_s;
+  }
+  exchange->Reply(kOk, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void CallerApi::HandleOutcome(http::Exchange* exchange) {
+  RequestId request(exchange->request().path.substr(kOutcomePrefix.size()));
+  Outcome outcome = explainer_->OutcomeOf(request);
+  json body = {{"request", request.value()}, {"outcome", OutcomeName(outcome)}};
+  exchange->Reply(kOk, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void CallerApi::Handle(http::Exchange* exchange) {
+  const http::Request& request = exchange->request();
+  bool model = request.path == kModelPath && request.method == "POST";
+  if (model || request.path.starts_with(kServicePrefix)) {
+    HandleCall(exchange);
+  } else if (request.path == "/v1/entry" && request.method == "GET") {
+    HandleEntry(exchange);
+  } else if (request.path.starts_with(kOutcomePrefix) &&
+             request.method == "GET") {
+    HandleOutcome(exchange);
+  } else {
+    ReplyError(
+        exchange, RequestId(),
+        EndOf(MakeError(ResultCode::kUnknownPath, "no such path or method")));
+  }
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/claim_gate.h
@@ -0,0 +1,54 @@
+// Makes sure that a non-idempotent call runs at most once.
+#pragma once
+
+#include <deque>
+#include <mutex>
+#include <string>
+
+#include "Core/Claims/ticket.h"
+#include "Core/Gateway/call.h"
+#include "Core/Gateway/call_runner.h"
+#include "Core/Gateway/node_parts.h"
+
+namespace basilvalve::gateway {
+
+/// Stands before the runner for non-idempotent calls. A call with a ticket is
+/// run only by the instance that issued it; a call with an idempotency key only
+/// by the instance that claimed the key. Thread safe.
+class ClaimGate {
+ public:
+  ClaimGate(const NodeParts* parts, CallRunner* runner, PeerCaller* peer_caller)
+      : parts_(parts), runner_(runner), peer_caller_(peer_caller) {}
+
+  /// Runs the call, hands on the answer of its earlier run, or refuses. Thread
+  /// safe; blocks.
+  CallEnd Run(const Call& call, AnswerSink* sink);
+
+ private:
+  CallEnd RunWithTicket(const Call& call, AnswerSink* sink);
+  CallEnd RunWithKey(const Call& call, AnswerSink* sink);
+  CallEnd RunClaimed(const Call& call, const std::string& ledger_id,
+                     AnswerSink* sink);
+  CallEnd AskOwner(const Call& call, const InstanceId& owner,
+                   Incarnation incarnation, AnswerSink* sink);
+  CallEnd AnswerOther(const Call& call, const claims::ClaimRecord& record,
+                      AnswerSink* sink);
+  CallEnd Replay(const claims::BeginResult& begun, AnswerSink* sink);
+  claims::FinishedCall RunRecorded(const Call& call, AnswerSink* sink,
+                                   CallEnd* end);
+
+  void Abandon(const RequestId& request);
+  bool WasAbandoned(const claims::ClaimRecord& record);
+
+  const NodeParts* parts_;
+  CallRunner* runner_;
+  PeerCaller* peer_caller_;
+
+  std::mutex mutex_;
+  // Guarded by mutex_: requests that were refused because their claim could not
+  // be read back. Should its write have taken effect, it is known that they
+  // never ran.
+  std::deque<RequestId> abandoned_;
+};
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/cluster.cc
@@ -0,0 +1,287 @@
+#include "Core/Gateway/cluster.h"
+
+#include <algorithm>
+
+#include "Core/Membership/duty.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+using membership::ControlKind;
+using membership::ControlMessage;
+using membership::MemberInfo;
+using membership::MemberState;
+using membership::Outgoing;
+
+constexpr Millis kTickPeriod{100};
+// News of a leaving upstream is told for this long, which is several probe
+// rounds.
+constexpr Millis kNoticeKeep{5000};
+constexpr size_t kNoticesEach = 8;
+constexpr size_t kContactsEach = 3;
+
+}  // namespace
+
+Cluster::Cluster(const ClusterSettings& settings, MemberInfo self,
+                 uint64_t seed, const Clock* clock, const Keyring* keyring,
+                 observe::Metrics* metrics)
+    : settings_(settings),
+      clock_(clock),
+      keyring_(keyring),
+      metrics_(metrics),
+      members_(settings.membership, std::move(self), seed),
+      regions_(settings.region_stale) {}
+
+Cluster::~Cluster() { Stop(); }
+
+Result<void> Cluster::Start(ClusterHooks hooks) {
+  hooks_ = std::move(hooks);
+  Result<std::unique_ptr<peer::ControlSocket>> socket =
+      peer::ControlSocket::Start(
+          self().peer, keyring_, kTickPeriod,
+          [this](const ControlMessage& message) { OnMessage(message); },
+          [this] { OnTick(); });
+  if (!socket) {
+    return tl::make_unexpected(socket.error());
+  }
+  std::lock_guard lock(mutex_);
+  socket_ = std::move(*socket);
+  return {};
+}
+
+void Cluster::Stop() {
+  std::unique_ptr<peer::ControlSocket> socket;
+  {
+    std::lock_guard lock(mutex_);
+    socket = std::move(socket_);
+  }
+  // Destroyed without the lock: its thread may be waiting for it.
+  socket.reset();
+}
+
+void Cluster::Introduce(const std::vector<platform::ListedInstance>& listed) {
+  std::lock_guard lock(mutex_);
+  Instant now = clock_->Now();
+  listed_contacts_.clear();
+  for (const platform::ListedInstance& it : listed) {
+    if (it.kind != platform::ListedKind::kGateway ||
+        it.state != platform::ListedState::kLive) {
+      continue;
+    }
+    MemberInfo info;
+    info.id = InstanceId(it.id);
+    info.region = it.region;
+    info.peer = it.endpoint;
+    info.caller = it.endpoint;
+    members_.Introduce(info, now);
+    if (it.region != members_.self().region) {
+      listed_contacts_[it.region].push_back(info);
+    }
+  }
+}
+
+void Cluster::SetDraining() {
+  std::lock_guard lock(mutex_);
+  members_.UpdateSelf(members_.self().load_percent, /*draining=*/true);
+}
+
+void Cluster::Leave() {
+  std::vector<Outgoing> messages;
+  {
+    std::lock_guard lock(mutex_);
+    messages = members_.Leave();
+  }
+  Send(std::move(messages));
+}
+
+void Cluster::NoticeLeaving(const UpstreamId& upstream) {
+  std::lock_guard lock(mutex_);
+  notices_.push_back({upstream, clock_->Now()});
+}
+
+std::vector<MemberInfo> Cluster::Live() const {
+  std::lock_guard lock(mutex_);
+  return members_.Live();
+}
+
+std::vector<membership::MemberView> Cluster::Members() const {
+  std::lock_guard lock(mutex_);
+  return members_.Members();
+}
+
+MemberInfo Cluster::self() const {
+  std::lock_guard lock(mutex_);
+  return members_.self();
+}
+
+std::optional<MemberInfo> Cluster::Find(const InstanceId& id) const {
+  std::lock_guard lock(mutex_);
+  std::optional<MemberInfo> member = members_.Find(id);
+  if (member) {
+    return member;
+  }
+  for (const membership::RegionView& region : regions_.All()) {
+    for (const MemberInfo& it : region.summary.contacts) {
+      if (it.id == id) {
+        return it;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<membership::RegionView> Cluster::Regions() const {
+  std::lock_guard lock(mutex_);
+  return regions_.Reachable(clock_->Now());
+}
+
+std::vector<membership::RegionView> Cluster::AllRegions() const {
+  std::lock_guard lock(mutex_);
+  return regions_.All();
+}
+
+std::optional<MemberInfo> Cluster::ContactIn(const RegionId& region,
+                                             uint64_t turn) const {
+  for (const membership::RegionView& it : Regions()) {
+    if (it.summary.region == region && !it.summary.contacts.empty()) {
+      return it.summary.contacts[turn % it.summary.contacts.size()];
+    }
+  }
+  return std::nullopt;
+}
+
+ControlMessage Cluster::NewMessageLocked() {
+  ControlMessage message;
+  message.kind = ControlKind::kSummary;
+  message.sender = members_.self().id;
+  message.incarnation = members_.self().incarnation;
+  return message;
+}
+
+void Cluster::Decorate(ControlMessage* message) {
+  if (message->kind == ControlKind::kSummary) {
+    return;
+  }
+  message->document_hash = hooks_.document_hash();
+  std::lock_guard lock(mutex_);
+  Instant now = clock_->Now();
+  std::erase_if(notices_, [now](const Notice& it) {
+    return now - it.seen > kNoticeKeep;
+  });
+  size_t first =
+      notices_.size() > kNoticesEach ? notices_.size() - kNoticesEach : 0;
+  for (size_t i = first; i < notices_.size(); ++i) {
+    auto age = std::chrono::duration_cast<Millis>(now - notices_[i].seen);
+    message->notices.push_back(
+        {notices_[i].upstream, static_cast<uint32_t>(age.count())});
+  }
+}
+
+void Cluster::Send(std::vector<Outgoing> messages) {
+  for (Outgoing& it : messages) {
+    Decorate(&it.message);
+    // One numbering for all messages: receivers reject numbers far below the
+    // highest.
+    it.message.sequence = Sequence(next_sequence_.fetch_add(1));
+    size_t bytes = socket_ == nullptr ? 0 : socket_->Send(it);
+    metrics_->CountControlBytes(bytes);
+  }
+}
+
+std::vector<Outgoing> Cluster::RelayLocked(const ControlMessage& message) {
+  // A summary reaches one instance of the region, which passes it on to the
+  // others; a relayed one has this region's instance as its sender and is not
+  // relayed again.
+  std::vector<Outgoing> out;
+  const MemberInfo& self = members_.self();
+  for (const MemberInfo& it : members_.Live()) {
+    if (it.id != self.id) {
+      ControlMessage relayed = NewMessageLocked();
+      relayed.summaries = message.summaries;
+      relayed.target = message.sender;
+      out.push_back({it.peer, std::move(relayed)});
+    }
+  }
+  return out;
+}
+
+void Cluster::OnMessage(const ControlMessage& message) {
+  std::vector<Outgoing> out;
+  bool known_member = false;
+  {
+    std::lock_guard lock(mutex_);
+    Instant now = clock_->Now();
+    known_member = members_.Find(message.sender).has_value();
+    if (message.kind == ControlKind::kSummary) {
+      bool relayed = !message.target.empty();
+      for (const membership::RegionSummary& it : message.summaries) {
+        if (it.region != members_.self().region) {
+          regions_.Learn(it, relayed ? message.target : message.sender, now);
+        }
+      }
+      if (!relayed) {
+        out = RelayLocked(message);
+      }
+    } else {
+      out = members_.OnMessage(message, now);
+    }
+  }
+  for (const membership::UpstreamNotice& it : message.notices) {
+    hooks_.upstream_leaving(it.upstream, Millis(it.age_ms));
+  }
+  bool differs = message.document_hash != 0 && known_member &&
+                 message.document_hash != hooks_.document_hash();
+  if (differs) {
+    hooks_.documents_differ(message.sender);
+  }
+  Send(std::move(out));
+}
+
+std::vector<Outgoing> Cluster::SummariesDue(Instant now) {
+  if (now < next_summary_) {
+    return {};
+  }
+  next_summary_ = now + settings_.summary_period;
+  ++round_;
+  membership::RegionSummary summary = hooks_.summarise();
+  std::lock_guard lock(mutex_);
+  const MemberInfo& self = members_.self();
+  std::vector<MemberInfo> live = members_.Live();
+  summary.region = self.region;
+  for (size_t i = 0; i < live.size() && summary.contacts.size() < kContactsEach;
+       ++i) {
+    const MemberInfo& it = live[(round_ + i) % live.size()];
+    if (it.state == MemberState::kAlive && !it.draining) {
+      summary.contacts.push_back(it);
+    }
+  }
+  std::vector<Outgoing> out;
+  for (const auto& [region, listed] : listed_contacts_) {
+    std::string duty = "speak/" + region.value();
+    if (!membership::HasDuty(live, self.id, duty, membership::kSpeakers)) {
+      continue;
+    }
+    ControlMessage message = NewMessageLocked();
+    summary.sequence = ++summary_sequence_;
+    message.summaries = {summary};
+    out.push_back({listed[round_ % listed.size()].peer, std::move(message)});
+  }
+  return out;
+}
+
+void Cluster::OnTick() {
+  Instant now = clock_->Now();
+  uint8_t load = hooks_.load_percent();
+  std::vector<Outgoing> out;
+  {
+    std::lock_guard lock(mutex_);
+    members_.UpdateSelf(load, members_.self().draining);
+    out = members_.Tick(now);
+  }
+  std::vector<Outgoing> summaries = SummariesDue(now);
+  out.insert(out.end(), std::make_move_iterator(summaries.begin()),
+             std::make_move_iterator(summaries.end()));
+  Send(std::move(out));
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/cluster.h
@@ -0,0 +1,117 @@
+// This instance among the others: membership, regions and the control socket.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "Core/Common/clock.h"
+#include "Core/Common/keyring.h"
+#include "Core/Membership/member_table.h"
+#include "Core/Membership/region_table.h"
+#include "Core/Observe/metrics.h"
+#include "Core/Peer/control_socket.h"
+#include "Core/Platform/instance_list.h"
+
+namespace basilvalve::gateway {
+
+/// Periods of what regions tell each other.
+struct ClusterSettings {
+  membership::MembershipSettings membership;
+  Millis summary_period{2000};
+  Millis region_stale{10000};
+};
+
+/// What the cluster asks of, and tells, the rest of the instance.
+struct ClusterHooks {
+  /// Models and services that this region can serve now.
+  std::function<membership::RegionSummary()> summarise;
+  /// Hash of the documents in force.
+  std::function<uint64_t()> document_hash;
+  /// A member holds other documents than this instance.
+  std::function<void(const InstanceId&)> documents_differ;
+  /// A member saw an upstream leaving.
+  std::function<void(const UpstreamId&, Millis age)> upstream_leaving;
+  /// Share of this instance's capacity in use.
+  std::function<uint8_t()> load_percent;
+};
+
+/// Wraps the membership state machines with a lock, a socket and a clock.
+/// Thread safe.
+class Cluster {
+ public:
+  /// Pre: the pointers outlive the cluster.
+  Cluster(const ClusterSettings& settings, membership::MemberInfo self,
+          uint64_t seed, const Clock* clock, const Keyring* keyring,
+          observe::Metrics* metrics);
+  ~Cluster();
+
+  /// Binds the peer address and starts to talk. Fails with kSettingInvalid.
+  Result<void> Start(ClusterHooks hooks);
+  /// Stops the control socket. Call once, last.
+  void Stop();
+  /// Learns gateways from the platform's list. Thread safe.
+  void Introduce(const std::vector<platform::ListedInstance>& listed);
+  /// Tells the others that this instance takes no new work. Thread safe.
+  void SetDraining();
+  /// Tells the others that this instance is gone. Thread safe.
+  void Leave();
+  /// Tells the others that an upstream is leaving. Thread safe.
+  void NoticeLeaving(const UpstreamId& upstream);
+
+  /// Live members of this region with this instance, sorted by id. Thread safe.
+  std::vector<membership::MemberInfo> Live() const;
+  /// All members of this region, dead ones too. Thread safe.
+  std::vector<membership::MemberView> Members() const;
+  /// A member of this region, or a contact in another. Thread safe.
+  std::optional<membership::MemberInfo> Find(const InstanceId& id) const;
+  /// Other regions heard of recently. Thread safe.
+  std::vector<membership::RegionView> Regions() const;
+  /// All other regions ever heard of. Thread safe.
+  std::vector<membership::RegionView> AllRegions() const;
+  /// An instance of another region to which a call can be forwarded; `turn`
+  /// spreads calls over the contacts. Thread safe.
+  std::optional<membership::MemberInfo> ContactIn(const RegionId& region,
+                                                  uint64_t turn) const;
+  /// What this instance tells of itself. Thread safe.
+  membership::MemberInfo self() const;
+
+ private:
+  struct Notice {
+    UpstreamId upstream;
+    Instant seen;
+  };
+
+  void OnMessage(const membership::ControlMessage& message);
+  void OnTick();
+  void Send(std::vector<membership::Outgoing> messages);
+  void Decorate(membership::ControlMessage* message);
+  std::vector<membership::Outgoing> SummariesDue(Instant now);
+  std::vector<membership::Outgoing> RelayLocked(
+      const membership::ControlMessage& message);
+  membership::ControlMessage NewMessageLocked();
+
+  ClusterSettings settings_;
+  const Clock* clock_;
+  const Keyring* keyring_;
+  observe::Metrics* metrics_;
+  ClusterHooks hooks_;
+  std::unique_ptr<peer::ControlSocket> socket_;
+  std::atomic<uint64_t> next_sequence_{1};
+
+  mutable std::mutex mutex_;
+  // Guarded by mutex_.
+  membership::MemberTable members_;
+  membership::RegionTable regions_;
+  std::map<RegionId, std::vector<membership::MemberInfo>> listed_contacts_;
+  std::vector<Notice> notices_;
+  Instant next_summary_;
+  uint64_t round_ = 0;
+  uint64_t summary_sequence_ = 0;
+};
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/entry_advisor.cc
@@ -0,0 +1,60 @@
+#include "Core/Gateway/entry_advisor.h"
+
+#include <algorithm>
+
+#include "Core/Gateway/cluster.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+constexpr int kFullWeight = 100;
+
+void AddIfUsable(const membership::MemberInfo& info,
+                 std::vector<EntryAdvice>* advice) {
+  // A suspected instance is left out at once: callers have others.
+  bool usable = info.state == membership::MemberState::kAlive &&
+                !info.draining && info.incarnation != Incarnation();
+  if (usable) {
+    advice->push_back(
+        {info.id, info.caller,
+         std::max(1, kFullWeight - static_cast<int>(info.load_percent))});
+  }
+}
+
+void SortBestFirst(std::vector<EntryAdvice>* advice) {
+  std::stable_sort(advice->begin(), advice->end(),
+                   [](const EntryAdvice& a, const EntryAdvice& b) {
+                     return a.weight > b.weight;
+                   });
+}
+
+}  // namespace
+
+std::vector<EntryAdvice> EntryAdvisor::RegionEntries() const {
+  std::vector<EntryAdvice> advice;
+  for (const membership::MemberInfo& it : parts_->cluster->Live()) {
+    AddIfUsable(it, &advice);
+  }
+  SortBestFirst(&advice);
+  return advice;
+}
+
+std::vector<EntryAdvice> EntryAdvisor::Advise(
+    const document::ServiceDocument& document) const {
+  if (document.Permits(parts_->region)) {
+    return RegionEntries();
+  }
+  std::vector<EntryAdvice> advice;
+  for (const membership::RegionView& it : parts_->cluster->Regions()) {
+    if (!document.Permits(it.summary.region)) {
+      continue;
+    }
+    for (const membership::MemberInfo& contact : it.summary.contacts) {
+      AddIfUsable(contact, &advice);
+    }
+  }
+  SortBestFirst(&advice);
+  return advice;
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/filters.cc
@@ -0,0 +1,238 @@
+#include "Core/Gateway/filters.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace basilvalve::gateway {
+namespace {
+
+constexpr size_t kMaxHops = 3;
+
+class DrainFilter : public Filter {
+ public:
+  explicit DrainFilter(const NodeParts* parts) : parts_(parts) {}
+  std::string_view name() const override { return "drain"; }
+
+  Result<void> Apply(Call* /*call*/) override {
+    if (parts_->draining->load()) {
+      return Fail(ResultCode::kDraining, "this instance is stopping");
+    }
+    return {};
+  }
+
+ private:
+  const NodeParts* parts_;
+};
+
+/// Finds the document in force.
+class LookupFilter : public Filter {
+ public:
+  explicit LookupFilter(const NodeParts* parts) : parts_(parts) {}
+  std::string_view name() const override { return "lookup"; }
+
+  Result<void> Apply(Call* call) override {
+    call->record = parts_->catalog->Find(call->service);
+    if (call->record != nullptr) {
+      const document::ServiceDocument& document = call->record->document;
+      call->is_model = document.upstream == document::UpstreamKind::kModel;
+      return {};
+    }
+    // An empty catalog means that this instance has just started; a service
+    // that only this instance does not know is told apart from one that nobody
+    // knows.
+    if (parts_->catalog->Digest().empty() ||
+        call->origin != CallOrigin::kCaller) {
+      return Fail(ResultCode::kNoDocument,
+                  "no document of the service is in force here");
+    }
+    return Fail(ResultCode::kUnknownService, "no document names the service");
+  }
+
+ private:
+  const NodeParts* parts_;
+};
+
+/// Matches the caller's key.
+class IdentityFilter : public Filter {
+ public:
+  std::string_view name() const override { return "identity"; }
+
+  Result<void> Apply(Call* call) override {
+    std::optional<std::string> label =
+        call->record->document.MatchKey(call->bearer);
+    // The key is not needed any more; it must not reach a log or another
+    // instance.
+    call->bearer.clear();
+    if (!label) {
+      return Fail(ResultCode::kUnauthenticated,
+                  "the bearer key matches no key of the service");
+    }
+    call->caller_label = *label;
+    return {};
+  }
+};
+
+/// Residency and loops: checked where a request enters and again where it would
+/// run.
+class PlacementFilter : public Filter {
+ public:
+  explicit PlacementFilter(const NodeParts* parts) : parts_(parts) {}
+  std::string_view name() const override { return "placement"; }
+
+  Result<void> Apply(Call* call) override {
+    bool seen = std::find(call->hops.begin(), call->hops.end(), parts_->self) !=
+                call->hops.end();
+    if (seen || call->hops.size() >= kMaxHops) {
+      return Fail(ResultCode::kLoopRefused,
+                  "the request passed here before or has no hop left");
+    }
+    bool returned = call->origin == CallOrigin::kOtherRegion &&
+                    std::find(call->regions.begin(), call->regions.end(),
+                              parts_->region) != call->regions.end();
+    if (returned) {
+      return Fail(ResultCode::kLoopRefused,
+                  "the request was in this region before");
+    }
+    if (!call->record->document.Permits(parts_->region)) {
+      return Fail(
+          ResultCode::kResidencyForbidden,
+          "the service's data may not be in region " + parts_->region.value());
+    }
+    if (call->record->version < call->sender_version) {
+      // The sender knows a newer document, which may be stricter than the one
+      // here.
+      return Fail(ResultCode::kNoDocument,
+                  "an older document is in force here");
+    }
+    return {};
+  }
+
+ private:
+  const NodeParts* parts_;
+};
+
+/// Reads what routing needs to know from the body of a model call.
+class PromptFilter : public Filter {
+ public:
+  std::string_view name() const override { return "prompt"; }
+
+  Result<void> Apply(Call* call) override {
+    const document::ServiceDocument& document = call->record->document;
+    if (static_cast<int64_t>(call->body.size()) > document.limits.body_bytes) {
+      return Fail(ResultCode::kBodyTooLarge,
+                  "the document's limit on bodies is exceeded");
+    }
+    call->idempotent = document.IsIdempotent(call->method, call->path);
+    if (!call->is_model) {
+      return {};
+    }
+    nlohmann::json json =
+        nlohmann::json::parse(call->body, nullptr, /*allow_exceptions=*/false);
+    if (!json.is_object()) {
+      return Fail(ResultCode::kMalformedRequest,
+                  "the body is not a JSON object");
+    }
+    Result<void> read = ReadModel(json, call);
+    if (!read) {
+      return read;
+    }
+    if (!document.AllowsModel(call->model)) {
+      return Fail(ResultCode::kModelNotAllowed,
+                  "the document does not permit the model");
+    }
+    return {};
+  }
+
+ private:
+  static Result<void> ReadModel(const nlohmann::json& json, Call* call) {
+    auto model = json.find("model");
+    auto messages = json.find("messages");
+    if (model == json.end() || !model->is_string()) {
+      return Fail(ResultCode::kMalformedRequest, "model: must be a string");
+    }
+    if (messages == json.end() || !messages->is_array()) {
+      return Fail(ResultCode::kMalformedRequest, "messages: must be a list");
+    }
+    auto stream = json.find("stream");
+    if (stream != json.end() && !stream->is_boolean()) {
+      return Fail(ResultCode::kMalformedRequest,
+                  "stream: must be true or false");
+    }
+    call->streaming = stream != json.end() && stream->get<bool>();
+    call->model = ModelName(model->get<std::string>());
+    for (const nlohmann::json& it : *messages) {
+      auto content = it.is_object() ? it.find("content") : it.end();
+      if (!it.is_object() || content == it.end() || !content->is_string()) {
+        return Fail(ResultCode::kMalformedRequest,
+                    "messages: each needs a text content");
+      }
+      call->prompt += content->get<std::string>();
+      call->prompt += '\n';
+    }
+    return {};
+  }
+};
+
+/// Sets the deadline by which the answer must be complete.
+class DeadlineFilter : public Filter {
+ public:
+  explicit DeadlineFilter(const NodeParts* parts) : parts_(parts) {}
+  std::string_view name() const override { return "deadline"; }
+
+  Result<void> Apply(Call* call) override {
+    Micros allowed = call->record->document.targets.deadline;
+    if (call->wanted_deadline.count() > 0) {
+      allowed = std::min(allowed, call->wanted_deadline);
+    }
+    call->deadline = call->arrived + allowed;
+    if (call->Remaining(parts_->clock->Now()).count() <= 0) {
+      return Fail(ResultCode::kDeadlineTooShort, "no time is left");
+    }
+    return {};
+  }
+
+ private:
+  const NodeParts* parts_;
+};
+
+}  // namespace
+
+FilterChain FilterChain::ForCallers(const NodeParts* parts) {
+  FilterChain chain(parts);
+  chain.filters_.push_back(std::make_unique<DrainFilter>(parts));
+  chain.filters_.push_back(std::make_unique<LookupFilter>(parts));
+  chain.filters_.push_back(std::make_unique<IdentityFilter>());
+  chain.filters_.push_back(std::make_unique<PlacementFilter>(parts));
+  chain.filters_.push_back(std::make_unique<PromptFilter>());
+  chain.filters_.push_back(std::make_unique<DeadlineFilter>(parts));
+  return chain;
+}
+
+FilterChain FilterChain::ForPeers(const NodeParts* parts) {
+  FilterChain chain(parts);
+  chain.filters_.push_back(std::make_unique<LookupFilter>(parts));
+  chain.filters_.push_back(std::make_unique<PlacementFilter>(parts));
+  chain.filters_.push_back(std::make_unique<DeadlineFilter>(parts));
+  chain.body_filters_.push_back(std::make_unique<PromptFilter>());
+  return chain;
+}
+
+Result<void> FilterChain::Apply(Call* call) { return ApplyAll(filters_, call); }
+
+Result<void> FilterChain::ApplyBody(Call* call) {
+  return ApplyAll(body_filters_, call);
+}
+
+Result<void> FilterChain::ApplyAll(const Filters& filters, Call* call) {
+  for (const std::unique_ptr<Filter>& it : filters) {
+    Result<void> passed = it->Apply(call);
+    parts_->journal->Step(call->id, it->name(), passed ? "pass" : "refuse",
+                          passed ? "" : passed.error().message);
+    if (!passed) {
+      return passed;
+    }
+  }
+  return {};
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/node.h
@@ -0,0 +1,111 @@
+// One instance: its parts, wired, started and stopped.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+
+#include "Core/Gateway/admin_api.h"
+#include "Core/Gateway/caller_api.h"
+#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/document_sync.h"
+#include "Core/Gateway/node_parts.h"
+#include "Core/Gateway/peer_api.h"
+#include "Core/Gateway/platform_poller.h"
+#include "Core/Platform/client_directory.h"
+#include "Core/Platform/instance_list.h"
+#include "Core/Platform/key_value_store.h"
+
+namespace basilvalve::gateway {
+
+/// The platform as an instance meets it.
+struct NodePlatform {
+  std::unique_ptr<platform::KeyValueStore> store;
+  std::unique_ptr<platform::InstanceList> instance_list;
+  /// May be null.
+  std::unique_ptr<platform::ClientDirectory> client_directory;
+};
+
+/// A running instance. Thread safe.
+class Node : private peer::StreamHandler, private http::Handler {
+ public:
+  /// Starts an instance. Fails with kSettingInvalid. Pre: the settings were
+  /// checked.
+  static Result<std::unique_ptr<Node>> Start(const NodeSettings& settings,
+                                             NodePlatform platform);
+  /// Clients of the platform's HTTP interfaces named in the settings.
+  static NodePlatform HttpPlatform(const NodeSettings& settings);
+  ~Node() override;
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Starts a graceful stop: no new work, but what is in flight goes on. Thread
+  /// safe; returns at once.
+  void BeginDrain();
+  /// Waits until Drain was asked for and nothing is in flight, or the limit has
+  /// passed. Returns whether everything in flight was finished. Thread safe;
+  /// blocks.
+  bool AwaitDrained();
+  /// Whether a graceful stop has begun. Thread safe.
+  bool draining() const { return draining_.load(); }
+
+  /// Addresses in use. Thread safe.
+  http::Endpoint caller_endpoint() const { return caller_server_->endpoint(); }
+  http::Endpoint admin_endpoint() const { return admin_server_->endpoint(); }
+  http::Endpoint peer_endpoint() const { return peer_server_->endpoint(); }
+
+ private:
+  Node(const NodeSettings& settings, NodePlatform platform, Keyring keyring);
+
+  Result<void> Init();
+  Result<void> StartPeers();
+  Result<void> StartHttp();
+  ClusterHooks MakeHooks();
+  membership::RegionSummary Summarise() const;
+  void HandleStream(peer::ServerStream* stream) override;
+  void Handle(http::Exchange* exchange) override;
+
+  NodeSettings settings_;
+  NodePlatform platform_;
+  Keyring keyring_;
+  SteadyClock clock_;
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> started_{false};
+  std::atomic<int64_t> active_{0};
+
+  IdSource ids_;
+  NodeParts parts_;
+  observe::Metrics metrics_;
+  observe::RequestJournal journal_;
+  document::DocumentCatalog catalog_;
+  platform::DocumentStore documents_;
+  claims::CallLedger call_ledger_;
+  claims::TicketLedger tickets_;
+  claims::StoreClaims store_claims_;
+  admission::CustomerShares shares_;
+  admission::RetryBudget retries_;
+  routing::UpstreamTable upstreams_;
+  routing::PrefixIndex prefixes_;
+  routing::Router router_;
+  peer::Reactor reactor_;
+  peer::PeerClient peers_;
+
+  std::unique_ptr<Cluster> cluster_;
+  std::unique_ptr<PeerCaller> peer_caller_;
+  std::unique_ptr<CallRunner> runner_;
+  std::unique_ptr<ClaimGate> gate_;
+  std::unique_ptr<EntryAdvisor> advisor_;
+  std::unique_ptr<Explainer> explainer_;
+  std::unique_ptr<DocumentSync> sync_;
+  std::unique_ptr<PlatformPoller> poller_;
+  std::unique_ptr<CallerApi> caller_api_;
+  std::unique_ptr<PeerApi> peer_api_;
+  std::unique_ptr<AdminApi> admin_api_;
+  std::unique_ptr<peer::PeerServer> peer_server_;
+  std::unique_ptr<http::Server> admin_server_;
+  std::unique_ptr<http::Server> caller_server_;
+};
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/peer_caller.cc
@@ -0,0 +1,138 @@
+#include "Core/Gateway/peer_caller.h"
+
+#include "Core/Common/hash.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+// Bound on how late a caller's departure is noticed while the other side is
+// silent.
+constexpr Millis kReadSlice{50};
+constexpr Millis kGoAheadLimit{2000};
+
+}  // namespace
+
+peer::StreamHeader PeerCaller::BuildHeader(const Call& call,
+                                           peer::Purpose purpose,
+                                           uint32_t attempt) {
+  peer::StreamHeader header;
+  header.sender = parts_->self;
+  header.sender_region = parts_->region;
+  header.incarnation = parts_->incarnation;
+  header.sequence = Sequence(next_sequence_.fetch_add(1));
+  header.purpose = purpose;
+  header.request = call.id;
+  header.attempt = attempt;
+  header.service = call.service;
+  header.version =
+      call.record == nullptr ? DocumentVersion() : call.record->version;
+  header.method = call.method;
+  header.path = call.path;
+  header.query = call.query;
+  header.content_type = call.content_type;
+  header.traceparent = call.trace.ToHeader();
+  header.ticket = call.ticket;
+  header.idempotency_key = call.idempotency_key;
+  header.remaining = call.Remaining(parts_->clock->Now());
+  header.hops = call.hops;
+  header.hops.push_back(parts_->self);
+  header.regions = call.regions;
+  header.regions.push_back(parts_->region);
+  header.body_bytes = call.body.size();
+  header.body_hash = Hash64(call.body);
+  header.streaming = call.streaming;
+  return header;
+}
+
+CallEnd PeerCaller::Run(const Call& call, const membership::MemberInfo& to,
+                        peer::Purpose purpose, uint32_t attempt,
+                        AnswerSink* sink) {
+  Instant begin = parts_->clock->Now();
+  Result<std::unique_ptr<peer::ClientStream>> stream =
+      parts_->peers->Open(to.peer, BuildHeader(call, purpose, attempt));
+  if (!stream) {
+    return EndOf(stream.error());
+  }
+  Instant go_ahead_limit = std::min(call.deadline, begin + kGoAheadLimit);
+  Result<void> accepted = (*stream)->AwaitGoAhead(go_ahead_limit);
+  if (!accepted) {
+    return EndOf(accepted.error());
+  }
+  (*stream)->SendBody(call.body);
+  if (to.region != parts_->region) {
+    parts_->metrics->CountRegionBytes(call.body.size());
+  }
+  CallEnd end = Relay(call, stream->get(), sink);
+  if (purpose == peer::Purpose::kRun || purpose == peer::Purpose::kOwner) {
+    observe::LogSpan(call.trace, "forward", call.id.value(),
+                     parts_->clock->Now() - begin, to.id.value());
+  }
+  return end;
+}
+
+CallEnd PeerCaller::Relay(const Call& call, peer::ClientStream* stream,
+                          AnswerSink* sink) {
+  Result<peer::AnswerHead> head = stream->AwaitHead(call.deadline);
+  if (!head) {
+    return EndOf(head.error());
+  }
+  CallEnd gone{Outcome::kUnknown, ResultCode::kCallerGone,
+               "the caller has gone", true, Millis(0)};
+  if (!sink->Begin(*head)) {
+    return gone;
+  }
+  bool from_away = head->region != parts_->region;
+  while (true) {
+    Result<std::optional<std::string>> piece = stream->Read(kReadSlice);
+    if (!piece) {
+      CallEnd end = EndOf(piece.error());
+      end.begun = true;
+      return end;
+    }
+    if (!piece->has_value()) {
+      return {Outcome::kDone, ResultCode::kOk, "", true, Millis(0)};
+    }
+    if (from_away) {
+      parts_->metrics->CountRegionBytes((*piece)->size());
+    }
+    bool there = (*piece)->empty() ? !sink->Gone() : sink->Piece(**piece);
+    if (!there) {
+      return gone;
+    }
+    if (parts_->clock->Now() > call.deadline) {
+      return {Outcome::kUnknown, ResultCode::kDeadlineExceeded,
+              "the deadline passed", true, Millis(0)};
+    }
+  }
+}
+
+Result<std::string> PeerCaller::Ask(const membership::MemberInfo& to,
+                                    peer::Purpose purpose,
+                                    const RequestId& request,
+                                    const std::string& body, Millis limit) {
+  /// Collects the answer.
+  class TextSink : public AnswerSink {
+   public:
+    bool Begin(const peer::AnswerHead& /*head*/) override { return true; }
+    bool Piece(std::string_view piece) override {
+      text.append(piece);
+      return true;
+    }
+    bool Gone() override { return false; }
+    std::string text;
+  };
+  Call call;
+  call.id = request;
+  call.body = body;
+  call.trace = parts_->ids->Span("");
+  call.arrived = parts_->clock->Now();
+  call.deadline = call.arrived + limit;
+  TextSink sink;
+  CallEnd end = Run(call, to, purpose, 0, &sink);
+  if (end.outcome != Outcome::kDone) {
+    return FailAs(end.code, end.outcome, end.message);
+  }
+  return std::move(sink.text);
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/platform_poller.cc
@@ -0,0 +1,209 @@
+#include "Core/Gateway/platform_poller.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "Core/Common/log.h"
+#include "Core/Gateway/cluster.h"
+#include "Core/Http/http_client.h"
+#include "Core/Membership/duty.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kDirectoryDuty = "client-directory";
+constexpr size_t kDirectoryWriters = 2;
+constexpr Millis kLoadTimeout{500};
+constexpr size_t kLoadAnswerBytes = 1 << 20;
+// Gateways of other regions change slowly and are only needed as first
+// contacts.
+constexpr uint64_t kFullListRounds = 10;
+
+}  // namespace
+
+PlatformPoller::PlatformPoller(const NodeParts* parts,
+                               platform::InstanceList* list,
+                               platform::ClientDirectory* directory,
+                               const EntryAdvisor* advisor)
+    : parts_(parts), list_(list), directory_(directory), advisor_(advisor) {}
+
+PlatformPoller::~PlatformPoller() { Stop(); }
+
+void PlatformPoller::Start() {
+  ReadLists();
+  list_thread_ = std::thread([this] { RunLists(); });
+  load_thread_ = std::thread([this] { RunLoads(); });
+}
+
+void PlatformPoller::Stop() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  if (list_thread_.joinable()) {
+    list_thread_.join();
+  }
+  if (load_thread_.joinable()) {
+    load_thread_.join();
+  }
+}
+
+bool PlatformPoller::Wait(Millis time) {
+  std::unique_lock lock(mutex_);
+  changed_.wait_for(lock, time, [this] { return stopping_; });
+  return !stopping_;
+}
+
+void PlatformPoller::ReadLists() {
+  if (list_rounds_++ % kFullListRounds == 0) {
+    Result<std::vector<platform::ListedInstance>> all = list_->Read(RegionId());
+    if (all) {
+      parts_->cluster->Introduce(*all);
+    }
+  }
+  Result<std::vector<platform::ListedInstance>> listed =
+      list_->Read(parts_->region);
+  if (!listed) {
+    // What is known stays in use: the list is one source among several.
+    LogEvent(LogLevel::kWarn, "platform", "instance_list")
+        .With("why", listed.error().message);
+    return;
+  }
+  std::erase_if(*listed, [](const platform::ListedInstance& it) {
+    return it.kind == platform::ListedKind::kGateway;
+  });
+  std::vector<platform::ListedInstance> used =
+      routing::UpstreamSubset(*listed, parts_->self.value(), subset_);
+  parts_->upstreams->Refresh(used);
+  std::lock_guard lock(mutex_);
+  upstreams_ = std::move(used);
+}
+
+void PlatformPoller::PublishEntries() {
+  if (directory_ == nullptr) {
+    return;
+  }
+  std::vector<http::Endpoint> entries;
+  for (const EntryAdvice& it : advisor_->RegionEntries()) {
+    entries.push_back(it.endpoint);
+  }
+  (void)directory_->Publish(parts_->region, Sequence(WallMillis()), entries);
+}
+
+void PlatformPoller::PublishIfDue() {
+  bool mine = membership::HasDuty(parts_->cluster->Live(), parts_->self,
+                                  kDirectoryDuty, kDirectoryWriters);
+  std::vector<std::string> texts;
+  for (const EntryAdvice& it : advisor_->RegionEntries()) {
+    texts.push_back(it.endpoint.Text());
+  }
+  std::sort(texts.begin(), texts.end());
+  std::string entries;
+  for (const std::string& it : texts) {
+    entries += it + ",";
+  }
+  if (mine && entries != published_) {
+    PublishEntries();
+  }
+  // Others remember it too, so that a writer that takes over does not write it
+  // again.
+  published_ = entries;
+}
+
+void PlatformPoller::RunLists() {
+  while (Wait(Millis(parts_->settings->list_period_ms))) {
+    ReadLists();
+    PublishIfDue();
+    parts_->metrics->SetLiveInstances(
+        static_cast<int64_t>(parts_->cluster->Live().size()));
+    parts_->metrics->SetDocuments(
+        static_cast<int64_t>(parts_->catalog->Digest().size()));
+    parts_->metrics->SetDocumentConflicts(
+        static_cast<int64_t>(parts_->catalog->conflicts()));
+    parts_->metrics->SetInFlight(parts_->shares->InFlight());
+    parts_->call_ledger->Expire(parts_->clock->Now());
+  }
+}
+
+void PlatformPoller::ReadLoad(const platform::ListedInstance& upstream) {
+  http::CallTimeouts timeouts{kLoadTimeout, kLoadTimeout, kLoadTimeout};
+  http::Request request{"GET", "/v1/load", "", {}, ""};
+  http::BufferedResponse response = http::ExecuteBuffered(
+      upstream.endpoint, request, timeouts, kLoadAnswerBytes);
+  json load = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  if (!response.Is(200) || !load.is_object()) {
+    return;
+  }
+  routing::LoadReport report;
+  report.running = load.value("running", 0.0);
+  report.queued = load.value("queued", 0.0);
+  report.backlog_tokens = load.value("backlog_tokens", 0.0);
+  report.slots = load.value("slots", report.slots);
+  report.prefill_rate = load.value("prefill_tokens_per_s", report.prefill_rate);
+  report.lag = Millis(load.value("lag_ms", int64_t{0}));
+  report.draining = load.value("draining", false);
+  UpstreamId id(upstream.id);
+  parts_->upstreams->OnReport(id, report, parts_->clock->Now());
+  if (report.draining) {
+    parts_->cluster->NoticeLeaving(id);
+  }
+}
+
+void PlatformPoller::ReadCacheEvents(const platform::ListedInstance& upstream,
+                                     uint32_t handle) {
+  uint64_t& next = next_event_[upstream.id];
+  http::CallTimeouts timeouts{kLoadTimeout, kLoadTimeout, kLoadTimeout};
+  http::Request request{
+      "GET", "/v1/cache_events", "since=" + std::to_string(next), {}, ""};
+  http::BufferedResponse response = http::ExecuteBuffered(
+      upstream.endpoint, request, timeouts, kLoadAnswerBytes);
+  json events = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  if (!response.Is(200) || !events.is_object()) {
+    return;
+  }
+  uint64_t first = events.value("first", next);
+  if (first > next) {
+    parts_->prefixes->OnGap(handle);
+  }
+  uint64_t end = events.value("next", next);
+  if (end < next) {
+    // The upstream has started anew, with an empty cache.
+    parts_->prefixes->Forget(handle);
+  }
+  next = end;
+  for (const json& it : events.value("events", json::array())) {
+    uint64_t block = it.value("block", uint64_t{0});
+    if (it.value("kind", "") == "stored") {
+      parts_->prefixes->Insert({block}, handle);
+    } else {
+      parts_->prefixes->Remove(block, handle);
+    }
+  }
+}
+
+void PlatformPoller::RunLoads() {
+  while (true) {
+    std::vector<platform::ListedInstance> upstreams;
+    {
+      std::lock_guard lock(mutex_);
+      upstreams = upstreams_;
+    }
+    for (const platform::ListedInstance& it : upstreams) {
+      std::optional<uint32_t> handle =
+          parts_->upstreams->HandleOf(UpstreamId(it.id));
+      ReadLoad(it);
+      if (it.kind == platform::ListedKind::kModel && handle) {
+        ReadCacheEvents(it, *handle);
+      }
+    }
+    if (!Wait(routing::ReportPeriod(upstreams.size(), subset_))) {
+      return;
+    }
+  }
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/platform_poller.h
@@ -0,0 +1,69 @@
+// Polls the platform's lists and the upstreams' load.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "Core/Gateway/entry_advisor.h"
+#include "Core/Gateway/node_parts.h"
+#include "Core/Platform/client_directory.h"
+#include "Core/Platform/instance_list.h"
+#include "Core/Routing/upstream_subset.h"
+
+namespace basilvalve::gateway {
+
+/// Two threads: one for the lists and the directory, one for load reports.
+/// Thread safe.
+class PlatformPoller {
+ public:
+  /// `directory` may be null. Pre: the pointers outlive the poller.
+  PlatformPoller(const NodeParts* parts, platform::InstanceList* list,
+                 platform::ClientDirectory* directory,
+                 const EntryAdvisor* advisor);
+  ~PlatformPoller();
+
+  void Start();
+  /// Stops the threads. Call once.
+  void Stop();
+  /// Writes the region's entries to the client directory now, without waiting
+  /// for this instance's turn. Thread safe; blocks.
+  void PublishEntries();
+
+ private:
+  void RunLists();
+  void RunLoads();
+  void ReadLists();
+  void ReadLoad(const platform::ListedInstance& upstream);
+  void ReadCacheEvents(const platform::ListedInstance& upstream,
+                       uint32_t handle);
+  void PublishIfDue();
+  bool Wait(Millis time);
+
+  const NodeParts* parts_;
+  platform::InstanceList* list_;
+  platform::ClientDirectory* directory_;
+  const EntryAdvisor* advisor_;
+  routing::SubsetSettings subset_;
+
+  // Used by the list thread only.
+  std::string published_;
+  uint64_t list_rounds_ = 0;
+
+  // Used by the load thread only: next cache event of each upstream.
+  std::map<std::string, uint64_t> next_event_;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  // Guarded by mutex_.
+  bool stopping_ = false;
+  std::vector<platform::ListedInstance> upstreams_;
+
+  std::thread list_thread_;
+  std::thread load_thread_;
+};
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/request_parser.cc
@@ -0,0 +1,131 @@
+#include "Core/Gateway/request_parser.h"
+
+#include <array>
+#include <charconv>
+
+namespace basilvalve::gateway {
+namespace {
+
+constexpr int64_t kMaxDeadlineMs = 3600000;
+constexpr size_t kMaxKeyBytes = 256;
+constexpr std::string_view kBearer = "Bearer ";
+// Headers that decide over a call: two different values could be read
+// differently by two readers, so a second one is an error.
+constexpr std::array<const char*, 7> kSingleHeaders = {
+    "Authorization",     "Basilvalve-Service",     "Idempotency-Key",
+    "Basilvalve-Ticket", "Basilvalve-Deadline-Ms", "traceparent",
+    "Content-Type"};
+
+Result<void> CheckHeaders(const http::Headers& headers) {
+  for (const char* it : kSingleHeaders) {
+    if (http::CountHeader(headers, it) > 1) {
+      return Fail(ResultCode::kDuplicateHeader,
+                  std::string(it) + ": given more than once");
+    }
+  }
+  return {};
+}
+
+Result<Micros> ParseDeadline(std::string_view text) {
+  if (text.empty()) {
+    return Micros(0);
+  }
+  int64_t ms = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (ec != std::errc() || end != text.data() + text.size() || ms < 1 ||
+      ms > kMaxDeadlineMs) {
+    return Fail(
+        ResultCode::kMalformedRequest,
+        "Basilvalve-Deadline-Ms: must be a whole number from 1 to 3600000");
+  }
+  return Micros(Millis(ms));
+}
+
+Result<void> ParseTarget(const http::Request& request, Call* call) {
+  if (request.path == kModelPath) {
+    call->service = ServiceName(
+        std::string(FindHeader(request.headers, "Basilvalve-Service")));
+    call->path = request.path;
+    if (call->service.empty()) {
+      return Fail(ResultCode::kMalformedRequest,
+                  "Basilvalve-Service: is required");
+    }
+    return {};
+  }
+  std::string_view rest(request.path);
+  rest.remove_prefix(kServicePrefix.size());
+  size_t slash = rest.find('/');
+  if (slash == std::string_view::npos || slash == 0) {
+    return Fail(ResultCode::kMalformedRequest,
+                "the path has to be /v1/services/{service}/{rest}");
+  }
+  call->service = ServiceName(std::string(rest.substr(0, slash)));
+  call->path = std::string(rest.substr(slash));
+  return {};
+}
+
+}  // namespace
+
+Result<Call> ParseCall(const http::Exchange& exchange, const NodeParts& parts) {
+  const http::Request& request = exchange.request();
+  Result<void> checked = CheckHeaders(request.headers);
+  if (!checked) {
+    return tl::make_unexpected(checked.error());
+  }
+  if (exchange.body_too_large()) {
+    return Fail(ResultCode::kBodyTooLarge,
+                "the body is longer than this instance accepts");
+  }
+  Call call;
+  call.id = RequestId(parts.self.value() + "." +
+                      std::to_string(parts.incarnation.value()) + "." +
+                      parts.ids->Hex());
+  call.trace = parts.ids->Span(FindHeader(request.headers, "traceparent"));
+  call.method = request.method;
+  call.query = request.query;
+  call.content_type = std::string(FindHeader(request.headers, "Content-Type"));
+  call.body = request.body;
+  call.arrived = parts.clock->Now();
+  call.ticket = std::string(FindHeader(request.headers, "Basilvalve-Ticket"));
+  call.idempotency_key =
+      std::string(FindHeader(request.headers, "Idempotency-Key"));
+  if (call.idempotency_key.size() > kMaxKeyBytes) {
+    return Fail(ResultCode::kMalformedRequest,
+                "Idempotency-Key: at most 256 bytes");
+  }
+  std::string_view authorization = FindHeader(request.headers, "Authorization");
+  if (authorization.starts_with(kBearer)) {
+    call.bearer = std::string(authorization.substr(kBearer.size()));
+  }
+  Result<Micros> deadline =
+      ParseDeadline(FindHeader(request.headers, "Basilvalve-Deadline-Ms"));
+  if (!deadline) {
+    return tl::make_unexpected(deadline.error());
+  }
+  call.wanted_deadline = *deadline;
+  Result<void> target = ParseTarget(request, &call);
+  if (!target) {
+    return tl::make_unexpected(target.error());
+  }
+  return call;
+}
+
+Result<RequestOrigin> ParseRequestId(const RequestId& id) {
+  const std::string& text = id.value();
+  size_t first = text.find('.');
+  size_t second =
+      first == std::string::npos ? first : text.find('.', first + 1);
+  if (second == std::string::npos) {
+    return Fail(ResultCode::kMalformedRequest, "not a request id");
+  }
+  uint64_t incarnation = 0;
+  auto [end, ec] = std::from_chars(text.data() + first + 1,
+                                   text.data() + second, incarnation);
+  if (ec != std::errc() || end != text.data() + second) {
+    return Fail(ResultCode::kMalformedRequest, "not a request id");
+  }
+  return RequestOrigin{InstanceId(text.substr(0, first)),
+                       Incarnation(incarnation)};
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Http/http_message.h
@@ -0,0 +1,67 @@
+// Plain types for HTTP messages, free of any library's own.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilvalve::http {
+
+/// Address of an HTTP server. Shape: numeric IP and port.
+struct Endpoint {
+  std::string ip;
+  uint16_t port = 0;
+
+  bool operator==(const Endpoint& other) const {
+    return ip == other.ip && port == other.port;
+  }
+  /// "ip:port". Thread safe.
+  std::string Text() const { return ip + ":" + std::to_string(port); }
+};
+
+/// Parses "ip:port"; false for other text. Thread safe. Pre: `endpoint` is not
+/// null.
+bool ParseEndpoint(std::string_view text, Endpoint* endpoint);
+
+/// One header line.
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+using Headers = std::vector<Header>;
+
+/// First value of a header, compared without regard to case; empty if absent.
+/// Thread safe.
+std::string_view FindHeader(const Headers& headers, std::string_view name);
+/// How often a header occurs. Thread safe.
+size_t CountHeader(const Headers& headers, std::string_view name);
+/// Whether two header names are equal without regard to case. Thread safe.
+bool SameName(std::string_view left, std::string_view right);
+
+/// A request to send, or one received with its whole body.
+struct Request {
+  std::string method;
+  std::string path;
+  /// Text after '?', without it.
+  std::string query;
+  Headers headers;
+  std::string body;
+};
+
+/// Value of a query parameter, empty if absent; no percent decoding. Thread
+/// safe.
+std::string QueryValue(std::string_view query, std::string_view name);
+
+/// Status line and headers of an answer.
+struct ResponseHead {
+  int status = 0;
+  Headers headers;
+};
+
+/// Reason phrase of a status. Thread safe.
+const char* ReasonPhrase(int status);
+
+}  // namespace basilvalve::http
--- /dev/null
+++ b/Source/Core/Membership/duty.cc
@@ -0,0 +1,61 @@
+#include "Core/Membership/duty.h"
+
+#include <algorithm>
+
+#include "Core/Platform/rendezvous.h"
+
+namespace basilvalve::membership {
+namespace {
+
+std::vector<std::string> Ids(const std::vector<MemberInfo>& members,
+                             bool only_healthy) {
+  std::vector<std::string> ids;
+  for (const MemberInfo& it : members) {
+    bool healthy = it.state == MemberState::kAlive && !it.draining;
+    if (healthy || !only_healthy) {
+      ids.push_back(it.id.value());
+    }
+  }
+  return ids;
+}
+
+}  // namespace
+
+bool HasDuty(const std::vector<MemberInfo>& live, const InstanceId& self,
+             std::string_view duty, size_t count) {
+  std::vector<std::string> ids = Ids(live, /*only_healthy=*/true);
+  if (ids.empty()) {
+    ids = Ids(live, /*only_healthy=*/false);
+  }
+  return platform::IsChosen(ids, self.value(), duty, count);
+}
+
+std::vector<MemberInfo> RelayTargets(const std::vector<MemberInfo>& live,
+                                     const InstanceId& self,
+                                     std::string_view document,
+                                     bool is_reader) {
+  std::vector<std::string> order = platform::ChooseMembers(
+      Ids(live, /*only_healthy=*/false), document, live.size());
+  auto it = std::find(order.begin(), order.end(), self.value());
+  auto position = static_cast<size_t>(it - order.begin());
+  size_t first = is_reader ? 0 : kRelayFanOut * (position + 1);
+  std::vector<MemberInfo> targets;
+  for (size_t i = first; i < std::min(first + kRelayFanOut, order.size());
+       ++i) {
+    auto member = std::find_if(
+        live.begin(), live.end(),
+        [&](const MemberInfo& info) { return info.id.value() == order[i]; });
+    if (order[i] != self.value()) {
+      targets.push_back(*member);
+    }
+  }
+  // A reader that sits in the tree also feeds its own children.
+  if (is_reader) {
+    std::vector<MemberInfo> children =
+        RelayTargets(live, self, document, /*is_reader=*/false);
+    targets.insert(targets.end(), children.begin(), children.end());
+  }
+  return targets;
+}
+
+}  // namespace basilvalve::membership
--- /dev/null
+++ b/Source/Core/Observe/metrics.cc
@@ -0,0 +1,154 @@
+#include "Core/Observe/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace basilvalve::observe {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+const prometheus::Histogram::BucketBoundaries kFirstTokenBounds = {
+    0.05, 0.1, 0.25, 0.5, 1.0, 1.8, 3.0, 10.0};
+const prometheus::Histogram::BucketBoundaries kTokenGapBounds = {
+    0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.5};
+
+prometheus::Counter& OneCounter(prometheus::Registry* registry,
+                                const char* name, const char* help) {
+  return prometheus::BuildCounter()
+      .Name(name)
+      .Help(help)
+      .Register(*registry)
+      .Add({});
+}
+
+prometheus::Gauge& OneGauge(prometheus::Registry* registry, const char* name,
+                            const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(*registry).Add(
+      {});
+}
+
+prometheus::Histogram& OneHistogram(
+    prometheus::Registry* registry, const char* name, const char* help,
+    const prometheus::Histogram::BucketBoundaries& bounds) {
+  return prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(*registry)
+      .Add({}, bounds);
+}
+
+}  // namespace
+
+struct Metrics::Series {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& requests =
+      prometheus::BuildCounter()
+          .Name("basilvalve_requests_total")
+          .Help("Finished requests by result code and outcome.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& store_calls =
+      prometheus::BuildCounter()
+          .Name("basilvalve_store_calls_total")
+          .Help("Calls to the key-value service by kind.")
+          .Register(registry);
+  prometheus::Histogram& first_token = OneHistogram(
+      &registry, "basilvalve_first_token_seconds",
+      "Time from arrival to the first token sent.", kFirstTokenBounds);
+  prometheus::Histogram& token_gap =
+      OneHistogram(&registry, "basilvalve_between_tokens_seconds",
+                   "Time between two tokens sent.", kTokenGapBounds);
+  prometheus::Counter& region_bytes =
+      OneCounter(&registry, "basilvalve_region_bytes_total",
+                 "Bytes exchanged with other regions.");
+  prometheus::Counter& sent_away =
+      OneCounter(&registry, "basilvalve_sent_away_total",
+                 "Requests forwarded to another region.");
+  prometheus::Counter& retries = OneCounter(
+      &registry, "basilvalve_retries_total", "Second and later attempts.");
+  prometheus::Counter& prompt_tokens = OneCounter(
+      &registry, "basilvalve_prompt_tokens_total", "Prompt tokens routed.");
+  prometheus::Counter& cached_tokens = OneCounter(
+      &registry, "basilvalve_prompt_tokens_cached_total",
+      "Prompt tokens expected to be in the upstream's prefix cache.");
+  prometheus::Counter& control_bytes =
+      OneCounter(&registry, "basilvalve_control_bytes_total",
+                 "Bytes of control messages sent to other instances.");
+  prometheus::Gauge& in_flight = OneGauge(
+      &registry, "basilvalve_requests_in_flight", "Requests being served.");
+  prometheus::Gauge& documents =
+      OneGauge(&registry, "basilvalve_documents", "Documents in force.");
+  prometheus::Gauge& live_instances =
+      OneGauge(&registry, "basilvalve_live_instances",
+               "Live instances seen in this region.");
+  prometheus::Gauge& document_conflicts = OneGauge(
+      &registry, "basilvalve_document_conflicts",
+      "Document offers refused because another change has the same version.");
+};
+
+Metrics::Metrics() : series_(std::make_unique<Series>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::CountRequest(ResultCode code, Outcome outcome) {
+  series_->requests
+      .Add({{"code", std::to_string(static_cast<int>(code))},
+            {"outcome", std::string(OutcomeName(outcome))}})
+      .Increment();
+}
+
+void Metrics::ObserveFirstToken(Micros time) {
+  series_->first_token.Observe(static_cast<double>(time.count()) /
+                               kMicrosPerSecond);
+}
+
+void Metrics::ObserveTokenGap(Micros time) {
+  series_->token_gap.Observe(static_cast<double>(time.count()) /
+                             kMicrosPerSecond);
+}
+
+void Metrics::CountRegionBytes(uint64_t bytes) {
+  series_->region_bytes.Increment(static_cast<double>(bytes));
+}
+
+void Metrics::CountSentAway() { series_->sent_away.Increment(); }
+
+void Metrics::CountRetry() { series_->retries.Increment(); }
+
+void Metrics::CountPromptTokens(uint64_t total, uint64_t cached) {
+  series_->prompt_tokens.Increment(static_cast<double>(total));
+  series_->cached_tokens.Increment(static_cast<double>(cached));
+}
+
+void Metrics::CountStoreCall(std::string_view kind) {
+  series_->store_calls.Add({{"kind", std::string(kind)}}).Increment();
+}
+
+void Metrics::CountControlBytes(uint64_t bytes) {
+  series_->control_bytes.Increment(static_cast<double>(bytes));
+}
+
+void Metrics::SetInFlight(int64_t count) {
+  series_->in_flight.Set(static_cast<double>(count));
+}
+
+void Metrics::SetDocuments(int64_t count) {
+  series_->documents.Set(static_cast<double>(count));
+}
+
+void Metrics::SetLiveInstances(int64_t count) {
+  series_->live_instances.Set(static_cast<double>(count));
+}
+
+void Metrics::SetDocumentConflicts(int64_t count) {
+  series_->document_conflicts.Set(static_cast<double>(count));
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(series_->registry.Collect());
+}
+
+}  // namespace basilvalve::observe
--- /dev/null
+++ b/Source/Core/Peer/peer_client.cc
@@ -0,0 +1,160 @@
+#include "Core/Peer/peer_client.h"
+
+namespace basilvalve::peer {
+
+ClientStream::ClientStream(ReactorShard* shard, StreamPtr stream,
+                           const StreamHeader& header, const Keyring* keyring,
+                           const Clock* clock)
+    : shard_(shard),
+      stream_(std::move(stream)),
+      request_(header.request),
+      attempt_(header.attempt),
+      keyring_(keyring),
+      clock_(clock) {}
+
+ClientStream::~ClientStream() {
+  std::lock_guard lock(shard_->mutex());
+  // The library may still read from the stream's buffer; the connection holds
+  // the state until the reset has closed the stream.
+  if (stream_->connection != nullptr) {
+    stream_->connection->Reset(stream_, NGHTTP2_CANCEL);
+    shard_->Wake();
+  }
+}
+
+template <typename Predicate>
+bool ClientStream::WaitLocked(std::unique_lock<std::mutex>* lock,
+                              Instant deadline, Predicate predicate) {
+  Micros left = deadline - clock_->Now();
+  return stream_->changed.wait_for(*lock, std::max(left, Micros(0)), predicate);
+}
+
+Result<EndRecord> ClientStream::VerifyEndLocked() {
+  SignedText text{stream_->headers["bv-end"], stream_->headers["bv-end-mac"]};
+  Result<EndRecord> end = DecodeEnd(text, *keyring_);
+  if (!end) {
+    return end;
+  }
+  // A late record of another attempt must not end this one.
+  if (end->request != request_ || end->attempt != attempt_) {
+    return Fail(ResultCode::kAnswerTruncated,
+                "the end record belongs to another attempt");
+  }
+  return end;
+}
+
+tl::unexpected<Error> ClientStream::FailureLocked(Outcome lost_outcome) {
+  if (stream_->trailers_received) {
+    Result<EndRecord> end = VerifyEndLocked();
+    if (end) {
+      return FailAs(end->code, end->outcome, end->message);
+    }
+  }
+  return FailAs(ResultCode::kPeerLost, lost_outcome,
+                "the stream to the other instance was lost");
+}
+
+Result<void> ClientStream::AwaitGoAhead(Instant deadline) {
+  std::unique_lock lock(shard_->mutex());
+  bool decided = WaitLocked(&lock, deadline, [this] {
+    return stream_->go_ahead || stream_->remote_closed || stream_->closed;
+  });
+  if (!decided) {
+    return FailAs(ResultCode::kPeerLost, Outcome::kNotRun,
+                  "no go-ahead in time");
+  }
+  if (stream_->go_ahead) {
+    return {};
+  }
+  tl::unexpected<Error> failure = FailureLocked(Outcome::kNotRun);
+  failure.value().outcome = failure.value().outcome == Outcome::kUnknown
+                                ? Outcome::kNotRun
+                                : failure.value().outcome;
+  return failure;
+}
+
+void ClientStream::SendBody(std::string body) {
+  std::lock_guard lock(shard_->mutex());
+  stream_->outbound = std::move(body);
+  stream_->outbound_open = false;
+  if (stream_->connection != nullptr) {
+    stream_->connection->ResumeOutbound(stream_);
+    shard_->Wake();
+  }
+}
+
+Result<AnswerHead> ClientStream::AwaitHead(Instant deadline) {
+  std::unique_lock lock(shard_->mutex());
+  bool decided = WaitLocked(&lock, deadline, [this] {
+    return stream_->head_received || stream_->remote_closed || stream_->closed;
+  });
+  if (!decided) {
+    return Fail(ResultCode::kDeadlineExceeded,
+                "no answer from the other instance in time");
+  }
+  auto head = stream_->headers.find("bv-head");
+  if (head == stream_->headers.end()) {
+    return FailureLocked(Outcome::kUnknown);
+  }
+  return DecodeAnswerHead(head->second);
+}
+
+Result<std::optional<std::string>> ClientStream::Read(Millis slice) {
+  std::unique_lock lock(shard_->mutex());
+  bool ready = WaitLocked(&lock, clock_->Now() + slice, [this] {
+    return !stream_->inbound.empty() || stream_->remote_closed ||
+           stream_->closed;
+  });
+  if (!ready) {
+    return std::string();
+  }
+  if (!stream_->inbound.empty()) {
+    std::string piece = std::move(stream_->inbound.front());
+    stream_->inbound.pop_front();
+    hash_.Add(piece);
+    if (stream_->connection != nullptr) {
+      stream_->connection->Consumed(stream_, piece.size());
+      shard_->Wake();
+    }
+    return piece;
+  }
+  if (!stream_->trailers_received) {
+    return FailureLocked(Outcome::kUnknown);
+  }
+  Result<EndRecord> end = VerifyEndLocked();
+  if (!end) {
+    return tl::make_unexpected(end.error());
+  }
+  if (end->length != hash_.Length() || end->hash != hash_.Digest()) {
+    return Fail(ResultCode::kAnswerTruncated,
+                "the answer differs from its end record");
+  }
+  if (end->code != ResultCode::kOk) {
+    return FailAs(end->code, end->outcome, end->message);
+  }
+  end_ = std::move(*end);
+  return std::nullopt;
+}
+
+Result<std::unique_ptr<ClientStream>> PeerClient::Open(
+    const http::Endpoint& endpoint, const StreamHeader& header) {
+  ReactorShard& shard = reactor_->ShardFor(endpoint);
+  SignedText text = EncodeHeader(header, *keyring_);
+  StreamPtr stream;
+  {
+    std::lock_guard lock(shard.mutex());
+    Connection* connection = shard.ConnectLocked(endpoint);
+    if (connection != nullptr) {
+      stream = connection->StartRequest(text, reactor_->clock()->Now());
+    }
+  }
+  if (stream == nullptr) {
+    return FailAs(ResultCode::kPeerLost, Outcome::kNotRun,
+                  "cannot reach " + endpoint.Text());
+  }
+  shard.Wake();
+  return std::make_unique<ClientStream>(&shard, std::move(stream), header,
+                                        keyring_, reactor_->clock());
+}
+
+}  // namespace basilvalve::peer
--- /dev/null
+++ b/Source/Core/Platform/document_store.cc
@@ -0,0 +1,231 @@
+#include "Core/Platform/document_store.h"
+
+#include <algorithm>
+#include <map>
+
+#include "Core/Document/document_diff.h"
+
+namespace basilvalve::platform {
+namespace {
+
+using document::DocumentRecord;
+
+constexpr Seconds kNoLease{0};
+// Older versions are removed from the history when a new one is accepted.
+constexpr uint64_t kKeptVersions = 20;
+// Removal costs a listing, so it is done once for several versions.
+constexpr uint64_t kRemovalInterval = 10;
+constexpr int kReadBackAttempts = 3;
+
+tl::unexpected<Error> Conflict(const DocumentRecord& theirs,
+                               const DocumentChange& mine) {
+  std::string message = "version " + std::to_string(theirs.version.value()) +
+                        " is current, yours was edited from " +
+                        std::to_string(mine.base.value());
+  for (const std::string& line :
+       document::DiffDocuments(theirs.document, mine.document)) {
+    message += "\n  " + line;
+  }
+  return Fail(ResultCode::kVersionConflict, std::move(message));
+}
+
+}  // namespace
+
+Result<DocumentStore::Current> DocumentStore::ReadCurrent(
+    const ServiceName& name) {
+  Result<std::optional<StoreEntry>> entry =
+      store_->Get(document::CurrentKey(name));
+  if (!entry) {
+    // Reading changes nothing, whatever became of the request.
+    return FailAs(entry.error().code, Outcome::kNotRun, entry.error().message);
+  }
+  Current current;
+  if (!entry->has_value()) {
+    return current;
+  }
+  current.index = (*entry)->index;
+  Result<DocumentRecord> record = document::ParseRecord((*entry)->value);
+  if (!record) {
+    return tl::make_unexpected(record.error());
+  }
+  current.record = std::move(*record);
+  return current;
+}
+
+Result<DocumentRecord> DocumentStore::Apply(const DocumentChange& change) {
+  const ServiceName& name = change.document.name;
+  Result<Current> current = ReadCurrent(name);
+  if (!current) {
+    return tl::make_unexpected(current.error());
+  }
+  // The service may have been restored from an older copy: what is in force
+  // here counts as current if it is newer, and a new version goes above both.
+  document::RecordPtr in_force = catalog_->Find(name);
+  std::optional<DocumentRecord> newest = current->record;
+  if (in_force != nullptr && (!newest || newest->version < in_force->version)) {
+    newest = *in_force;
+  }
+  if (newest && newest->change == change.change) {
+    return *newest;
+  }
+  DocumentVersion newest_version =
+      newest ? newest->version : DocumentVersion(0);
+  if (change.base != newest_version) {
+    std::optional<DocumentRecord> accepted = FindAccepted(name, change.change);
+    if (accepted) {
+      return *accepted;
+    }
+    if (!newest) {
+      return Fail(ResultCode::kUnknownDocument,
+                  "there is no document \"" + name.value() + "\"");
+    }
+    return Conflict(*newest, change);
+  }
+  DocumentRecord record{DocumentVersion(newest_version.value() + 1),
+                        change.change, newest ? newest->change : ChangeId(),
+                        change.document};
+  Result<void> kept = WriteHistory(record);
+  if (!kept) {
+    return FailAs(kept.error().code, Outcome::kNotRun, kept.error().message);
+  }
+  return Commit(record, current->index);
+}
+
+Result<void> DocumentStore::WriteHistory(const DocumentRecord& record) {
+  // Written before the record itself, so that no accepted version is missing
+  // from the history. An entry whose change was not accepted is left out by
+  // following parents.
+  std::string key =
+      document::HistoryKey(record.document.name, record.version, record.change);
+  Result<SwapReply> reply = store_->CompareAndSwap(
+      key, document::FormatRecord(record), kAbsent, kNoLease);
+  if (!reply) {
+    return tl::make_unexpected(reply.error());
+  }
+  return {};
+}
+
+Result<DocumentRecord> DocumentStore::Commit(const DocumentRecord& record,
+                                             StoreIndex expected) {
+  Result<SwapReply> reply = store_->CompareAndSwap(
+      document::CurrentKey(record.document.name),
+      document::FormatRecord(record), expected, kNoLease);
+  if (!reply) {
+    return SettleLostReply(record, reply.error());
+  }
+  if (reply->swapped) {
+    RemoveOldHistory(record);
+    return record;
+  }
+  if (FindAccepted(record.document.name, record.change)) {
+    return record;
+  }
+  Result<Current> current = ReadCurrent(record.document.name);
+  if (current && current->record) {
+    return Conflict(
+        *current->record,
+        {record.document, DocumentVersion(record.version.value() - 1),
+         record.change});
+  }
+  return Fail(ResultCode::kVersionConflict,
+              "the document changed at the same moment");
+}
+
+Result<DocumentRecord> DocumentStore::SettleLostReply(
+    const DocumentRecord& record, const Error& cause) {
+  if (cause.outcome == Outcome::kNotRun) {
+    return tl::make_unexpected(cause);
+  }
+  for (int i = 0; i < kReadBackAttempts; ++i) {
+    // Another change may have been accepted on top of this one meanwhile, so
+    // the whole chain of parents is searched.
+    if (FindAccepted(record.document.name, record.change)) {
+      return record;
+    }
+  }
+  // A write that was not seen may still be on its way: only the change id,
+  // given again later, can tell.
+  return FailAs(ResultCode::kStoreUnavailable, Outcome::kUnknown,
+                cause.message + "; apply the same change id again to find out");
+}
+
+std::optional<DocumentRecord> DocumentStore::FindAccepted(
+    const ServiceName& name, const ChangeId& change) {
+  Result<std::vector<DocumentRecord>> chain = History(name);
+  if (!chain) {
+    return std::nullopt;
+  }
+  auto it = std::find_if(chain->begin(), chain->end(),
+                         [&change](const DocumentRecord& record) {
+                           return record.change == change;
+                         });
+  return it == chain->end() ? std::nullopt : std::make_optional(*it);
+}
+
+void DocumentStore::RemoveOldHistory(const DocumentRecord& newest) {
+  bool due = newest.version.value() % kRemovalInterval == 0;
+  if (!due || newest.version.value() <= kKeptVersions) {
+    return;
+  }
+  DocumentVersion oldest(newest.version.value() - kKeptVersions);
+  std::string limit =
+      document::HistoryKey(newest.document.name, oldest, ChangeId());
+  Result<std::vector<StoreEntry>> entries =
+      store_->List(document::HistoryPrefix(newest.document.name));
+  if (!entries) {
+    return;
+  }
+  for (const StoreEntry& it : *entries) {
+    if (it.key < limit) {
+      (void)store_->Remove(it.key);
+    }
+  }
+}
+
+Result<std::vector<DocumentRecord>> DocumentStore::History(
+    const ServiceName& name) {
+  Result<std::vector<StoreEntry>> entries =
+      store_->List(document::HistoryPrefix(name));
+  if (!entries) {
+    return tl::make_unexpected(entries.error());
+  }
+  Result<Current> current = ReadCurrent(name);
+  if (!current) {
+    return tl::make_unexpected(current.error());
+  }
+  std::map<ChangeId, DocumentRecord> by_change;
+  for (const StoreEntry& it : *entries) {
+    Result<DocumentRecord> record = document::ParseRecord(it.value);
+    if (record) {
+      by_change.emplace(record->change, std::move(*record));
+    }
+  }
+  std::vector<DocumentRecord> chain;
+  std::optional<DocumentRecord> next = current->record;
+  while (next && chain.size() < kKeptVersions) {
+    chain.push_back(*next);
+    auto it = by_change.find(next->parent);
+    next =
+        it == by_change.end() ? std::nullopt : std::make_optional(it->second);
+  }
+  return chain;
+}
+
+Result<void> DocumentStore::Repair(const DocumentRecord& record) {
+  Result<Current> current = ReadCurrent(record.document.name);
+  if (!current) {
+    return tl::make_unexpected(current.error());
+  }
+  if (current->record && current->record->version >= record.version) {
+    return {};
+  }
+  Result<SwapReply> reply = store_->CompareAndSwap(
+      document::CurrentKey(record.document.name),
+      document::FormatRecord(record), current->index, kNoLease);
+  if (!reply) {
+    return tl::make_unexpected(reply.error());
+  }
+  return {};
+}
+
+}  // namespace basilvalve::platform
--- /dev/null
+++ b/Source/Core/Routing/chooser.cc
@@ -0,0 +1,164 @@
+#include "Core/Routing/chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace basilvalve::routing {
+namespace {
+
+Choice At(const ChoiceInput& input, size_t index) {
+  return {index, PredictFirstToken(input.candidates[index], input.prompt,
+                                   input.crowd)};
+}
+
+class RandomChooser : public Chooser {
+ public:
+  std::optional<Choice> Choose(const ChoiceInput& input,
+                               Random* random) override {
+    if (input.candidates.empty()) {
+      return std::nullopt;
+    }
+    return At(input, random->Below(input.candidates.size()));
+  }
+};
+
+class RoundRobinChooser : public Chooser {
+ public:
+  std::optional<Choice> Choose(const ChoiceInput& input,
+                               Random* /*random*/) override {
+    if (input.candidates.empty()) {
+      return std::nullopt;
+    }
+    return At(input, next_++ % input.candidates.size());
+  }
+
+ private:
+  size_t next_ = 0;
+};
+
+/// Chooses the candidate with the smallest key; ties are broken at random.
+class SmallestKeyChooser : public Chooser {
+ public:
+  using Key = double (*)(const Candidate&);
+
+  explicit SmallestKeyChooser(Key key) : key_(key) {}
+
+  std::optional<Choice> Choose(const ChoiceInput& input,
+                               Random* random) override {
+    if (input.candidates.empty()) {
+      return std::nullopt;
+    }
+    size_t best = 0;
+    uint64_t ties = 1;
+    for (size_t i = 1; i < input.candidates.size(); ++i) {
+      double key = key_(input.candidates[i]);
+      double best_key = key_(input.candidates[best]);
+      if (key < best_key) {
+        best = i;
+        ties = 1;
+      } else if (key == best_key && random->Below(++ties) == 0) {
+        best = i;
+      }
+    }
+    return At(input, best);
+  }
+
+ private:
+  Key key_;
+};
+
+class PrefixHashChooser : public Chooser {
+ public:
+  std::optional<Choice> Choose(const ChoiceInput& input,
+                               Random* /*random*/) override {
+    if (input.candidates.empty()) {
+      return std::nullopt;
+    }
+    return At(input, input.prefix_hash % input.candidates.size());
+  }
+};
+
+/// Predicts the time to first token of every candidate and chooses at random
+/// among those near the best. How near depends on how old the reports are:
+/// several instances see the same reports, and would all go to the same
+/// upstream otherwise.
+class PredictedChooser : public Chooser {
+ public:
+  std::optional<Choice> Choose(const ChoiceInput& input,
+                               Random* random) override {
+    if (input.candidates.empty()) {
+      return std::nullopt;
+    }
+    predicted_.resize(input.candidates.size());
+    size_t best = 0;
+    for (size_t i = 0; i < input.candidates.size(); ++i) {
+      predicted_[i] =
+          PredictFirstToken(input.candidates[i], input.prompt, input.crowd);
+      if (predicted_[i] < predicted_[best]) {
+        best = i;
+      }
+    }
+    Micros limit = predicted_[best] + Tolerance(input, best);
+    size_t chosen = best;
+    uint64_t near = 0;
+    for (size_t i = 0; i < input.candidates.size(); ++i) {
+      if (predicted_[i] <= limit && random->Below(++near) == 0) {
+        chosen = i;
+      }
+    }
+    return Choice{chosen, predicted_[chosen]};
+  }
+
+ private:
+  // Part of the time one request takes at an upstream that is given up at most,
+  // so that a prefix held in a cache still decides.
+  static constexpr double kToleranceShare = 0.5;
+
+  static Micros Tolerance(const ChoiceInput& input, size_t best) {
+    constexpr double kMicrosPerSecond = 1e6;
+    const Candidate& it = input.candidates[best];
+    double others = 1 - 1 / std::max(1.0, input.crowd.instances);
+    double one_prefill = input.prompt.tokens / it.prefill_rate;
+    double seconds = one_prefill * kToleranceShare * others;
+    return Micros(static_cast<int64_t>(seconds * kMicrosPerSecond));
+  }
+
+  std::vector<Micros> predicted_;
+};
+
+double Outstanding(const Candidate& it) {
+  return static_cast<double>(it.own_in_flight);
+}
+
+double ReportedLength(const Candidate& it) { return it.running + it.queued; }
+
+constexpr std::array<std::string_view, 6> kNames = {
+    "random",        "round-robin", "least-outstanding",
+    "join-shortest", "prefix-hash", "predicted"};
+
+}  // namespace
+
+std::string_view ChooserName(ChooserKind kind) {
+  return kNames[static_cast<size_t>(kind)];
+}
+
+std::unique_ptr<Chooser> CreateChooser(ChooserKind kind) {
+  switch (kind) {
+    case ChooserKind::kRandom:
+      return std::make_unique<RandomChooser>();
+    case ChooserKind::kRoundRobin:
+      return std::make_unique<RoundRobinChooser>();
+    case ChooserKind::kLeastOutstanding:
+      return std::make_unique<SmallestKeyChooser>(&Outstanding);
+    case ChooserKind::kJoinShortest:
+      return std::make_unique<SmallestKeyChooser>(&ReportedLength);
+    case ChooserKind::kPrefixHash:
+      return std::make_unique<PrefixHashChooser>();
+    case ChooserKind::kPredicted:
+      return std::make_unique<PredictedChooser>();
+  }
+  return nullptr;
+}
+
+}  // namespace basilvalve::routing
--- /dev/null
+++ b/Source/Fakes/relay.h
@@ -0,0 +1,57 @@
+// A TCP relay that can be cut, frozen and slowed.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "Core/Common/clock.h"
+#include "Core/Http/http_message.h"
+
+namespace basilvalve::fakes {
+
+/// Passes bytes between its own address and a target. Thread safe.
+class Relay {
+ public:
+  /// Starts a relay on a free port of `ip`; null on failure. Thread safe.
+  static std::unique_ptr<Relay> Start(const std::string& ip,
+                                      const http::Endpoint& target);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  /// The relay's own address. Thread safe.
+  http::Endpoint endpoint() const { return endpoint_; }
+  /// While cut, connections are closed and new ones are not accepted on. Thread
+  /// safe.
+  void SetCut(bool cut);
+  /// While frozen, nothing passes but nothing is closed. Thread safe.
+  void SetFrozen(bool frozen) { frozen_ = frozen; }
+  /// Closes the connection after this many more bytes towards the caller.
+  /// Thread safe.
+  void CutAfter(int64_t bytes) { bytes_left_ = bytes; }
+
+ private:
+  explicit Relay(http::Endpoint target) : target_(std::move(target)) {}
+
+  bool Listen(const std::string& ip);
+  void Run();
+  void Pump(int caller, int upstream);
+  bool PassOn(int from, int to, bool counted);
+
+  http::Endpoint target_;
+  http::Endpoint endpoint_;
+  int listen_fd_ = -1;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> cut_{false};
+  std::atomic<bool> frozen_{false};
+  std::atomic<int64_t> bytes_left_{-1};
+  std::thread thread_;
+  std::mutex mutex_;
+  // Guarded by mutex_.
+  std::vector<std::thread> pumps_;
+};
+
+}  // namespace basilvalve::fakes
