Put ports before upstreams, peers and the cluster; share one NodeState

Cause: the decisions about claims, placement and routing could only be driven through sockets and threads, so no test could step several instances through faults. Change: base classes for the ways out of an instance (CallExecutor, UpstreamPort, PeerPort, ClusterView), ForwardedCalls free of the transport, and NodeState, which owns what handling calls needs without threads; the daemon's Node is built on it.

--- a/Source/Core/Gateway/admin_api.cc
+++ b/Source/Core/Gateway/admin_api.cc
@@ -6,7 +6,7 @@
 
 #include "Core/Common/hash.h"
 #include "Core/Common/log.h"
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 
 namespace basilvalve::gateway {
 namespace {
--- a/Source/Core/Gateway/call_runner.cc
+++ b/Source/Core/Gateway/call_runner.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "Core/Common/hash.h"
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 #include "Core/Routing/prefix_index.h"
 
 namespace basilvalve::gateway {
@@ -159,8 +159,7 @@
     parts_->journal->Step(call.id, "route", "forward " + contact->id.value(),
                           decision.Reason());
     parts_->metrics->CountSentAway();
-    return peer_caller_->Run(call, *contact, peer::Purpose::kRun, attempt,
-                             sink);
+    return peers_->Run(call, *contact, peer::Purpose::kRun, attempt, sink);
   }
   const routing::Candidate& chosen = input.local[decision.index];
   attempts->tried.push_back(chosen.handle);
@@ -169,7 +168,7 @@
                         decision.Reason());
   LocalPlan plan{chosen.handle, decision.predicted_local,
                  std::max(0.0, input.prompt.tokens - chosen.cached_tokens)};
-  return upstream_caller_.Run(call, plan, attempt, sink);
+  return upstreams_->Run(call, plan, attempt, sink);
 }
 
 bool CallRunner::MayRetry(const Call& call, const Attempts& attempts,
--- a/Source/Core/Gateway/call_runner.h
+++ b/Source/Core/Gateway/call_runner.h
@@ -3,22 +3,21 @@
 
 #include <vector>
 
-#include "Core/Gateway/call.h"
+#include "Core/Gateway/call_ports.h"
 #include "Core/Gateway/node_parts.h"
-#include "Core/Gateway/peer_caller.h"
-#include "Core/Gateway/upstream_caller.h"
 
 namespace basilvalve::gateway {
 
 /// Runs calls that have passed the filters. Thread safe.
-class CallRunner {
+class CallRunner : public CallExecutor {
  public:
-  CallRunner(const NodeParts* parts, PeerCaller* peer_caller)
-      : parts_(parts), peer_caller_(peer_caller), upstream_caller_(parts) {}
+  /// Pre: the pointers outlive the runner.
+  CallRunner(const NodeParts* parts, UpstreamPort* upstreams, PeerPort* peers)
+      : parts_(parts), upstreams_(upstreams), peers_(peers) {}
 
   /// Admits and runs a call. The outcome over all attempts is kNotRun only if
   /// every attempt's was. Thread safe; blocks until the call has ended.
-  CallEnd Run(const Call& call, AnswerSink* sink);
+  CallEnd Run(const Call& call, AnswerSink* sink) override;
 
  private:
   /// What earlier attempts of the call left behind.
@@ -41,8 +40,8 @@
                 AnswerSink* sink);
 
   const NodeParts* parts_;
-  PeerCaller* peer_caller_;
-  UpstreamCaller upstream_caller_;
+  UpstreamPort* upstreams_;
+  PeerPort* peers_;
 };
 
 }  // namespace basilvalve::gateway
--- a/Source/Core/Gateway/caller_api.cc
+++ b/Source/Core/Gateway/caller_api.cc
@@ -130,7 +130,8 @@
   if (!passed) {
     return EndOf(passed.error());
   }
-  return call->idempotent ? runner_->Run(*call, sink) : gate_->Run(*call, sink);
+  return call->idempotent ? executor_->Run(*call, sink)
+                          : gate_->Run(*call, sink);
 }
 
 void CallerApi::HandleCall(http::Exchange* exchange) {
--- a/Source/Core/Gateway/caller_api.h
+++ b/Source/Core/Gateway/caller_api.h
@@ -12,11 +12,11 @@
 /// Handles callers' requests. Thread safe.
 class CallerApi : public http::Handler {
  public:
-  CallerApi(const NodeParts* parts, CallRunner* runner, ClaimGate* gate,
+  CallerApi(const NodeParts* parts, CallExecutor* executor, ClaimGate* gate,
             const EntryAdvisor* advisor, Explainer* explainer)
       : parts_(parts),
         filters_(FilterChain::ForCallers(parts)),
-        runner_(runner),
+        executor_(executor),
         gate_(gate),
         advisor_(advisor),
         explainer_(explainer) {}
@@ -35,7 +35,7 @@
 
   const NodeParts* parts_;
   FilterChain filters_;
-  CallRunner* runner_;
+  CallExecutor* executor_;
   ClaimGate* gate_;
   const EntryAdvisor* advisor_;
   Explainer* explainer_;
--- a/Source/Core/Gateway/claim_gate.cc
+++ b/Source/Core/Gateway/claim_gate.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "Core/Common/hash.h"
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 
 namespace basilvalve::gateway {
 namespace {
@@ -71,7 +71,7 @@
 FinishedCall ClaimGate::RunRecorded(const Call& call, AnswerSink* sink,
                                     CallEnd* end) {
   RecordingSink recording(sink);
-  *end = runner_->Run(call, &recording);
+  *end = executor_->Run(call, &recording);
   recording.finished.outcome = end->outcome;
   recording.finished.code = end->code;
   return std::move(recording.finished);
@@ -155,8 +155,7 @@
     return EndOf(MakeError(ResultCode::kResidencyForbidden,
                            "the owner is in a forbidden region"));
   }
-  CallEnd end =
-      peer_caller_->Run(call, *member, peer::Purpose::kOwner, 1, sink);
+  CallEnd end = peers_->Run(call, *member, peer::Purpose::kOwner, 1, sink);
   bool unreachable =
       end.code == ResultCode::kPeerLost && end.outcome == Outcome::kNotRun;
   // This request was not run, but an earlier one with the same ticket may have
--- a/Source/Core/Gateway/claim_gate.h
+++ b/Source/Core/Gateway/claim_gate.h
@@ -6,8 +6,7 @@
 #include <string>
 
 #include "Core/Claims/ticket.h"
-#include "Core/Gateway/call.h"
-#include "Core/Gateway/call_runner.h"
+#include "Core/Gateway/call_ports.h"
 #include "Core/Gateway/node_parts.h"
 
 namespace basilvalve::gateway {
@@ -17,8 +16,9 @@
 /// by the instance that claimed the key. Thread safe.
 class ClaimGate {
  public:
-  ClaimGate(const NodeParts* parts, CallRunner* runner, PeerCaller* peer_caller)
-      : parts_(parts), runner_(runner), peer_caller_(peer_caller) {}
+  /// Pre: the pointers outlive the gate.
+  ClaimGate(const NodeParts* parts, CallExecutor* executor, PeerPort* peers)
+      : parts_(parts), executor_(executor), peers_(peers) {}
 
   /// Runs the call, hands on the answer of its earlier run, or refuses. Thread
   /// safe; blocks.
@@ -41,8 +41,8 @@
   bool WasAbandoned(const claims::ClaimRecord& record);
 
   const NodeParts* parts_;
-  CallRunner* runner_;
-  PeerCaller* peer_caller_;
+  CallExecutor* executor_;
+  PeerPort* peers_;
 
   std::mutex mutex_;
   // Guarded by mutex_: requests that were refused because their claim could not
--- a/Source/Core/Gateway/cluster.h
+++ b/Source/Core/Gateway/cluster.h
@@ -11,8 +11,7 @@
 
 #include "Core/Common/clock.h"
 #include "Core/Common/keyring.h"
-#include "Core/Membership/member_table.h"
-#include "Core/Membership/region_table.h"
+#include "Core/Gateway/cluster_view.h"
 #include "Core/Observe/metrics.h"
 #include "Core/Peer/control_socket.h"
 #include "Core/Platform/instance_list.h"
@@ -42,13 +41,13 @@
 
 /// Wraps the membership state machines with a lock, a socket and a clock.
 /// Thread safe.
-class Cluster {
+class Cluster : public ClusterView {
  public:
   /// Pre: the pointers outlive the cluster.
   Cluster(const ClusterSettings& settings, membership::MemberInfo self,
           uint64_t seed, const Clock* clock, const Keyring* keyring,
           observe::Metrics* metrics);
-  ~Cluster();
+  ~Cluster() override;
 
   /// Binds the peer address and starts to talk. Fails with kSettingInvalid.
   Result<void> Start(ClusterHooks hooks);
@@ -60,23 +59,16 @@
   void SetDraining();
   /// Tells the others that this instance is gone. Thread safe.
   void Leave();
-  /// Tells the others that an upstream is leaving. Thread safe.
-  void NoticeLeaving(const UpstreamId& upstream);
-
-  /// Live members of this region with this instance, sorted by id. Thread safe.
-  std::vector<membership::MemberInfo> Live() const;
-  /// All members of this region, dead ones too. Thread safe.
-  std::vector<membership::MemberView> Members() const;
-  /// A member of this region, or a contact in another. Thread safe.
-  std::optional<membership::MemberInfo> Find(const InstanceId& id) const;
-  /// Other regions heard of recently. Thread safe.
-  std::vector<membership::RegionView> Regions() const;
-  /// All other regions ever heard of. Thread safe.
-  std::vector<membership::RegionView> AllRegions() const;
-  /// An instance of another region to which a call can be forwarded; `turn`
-  /// spreads calls over the contacts. Thread safe.
+  std::vector<membership::MemberInfo> Live() const override;
+  std::vector<membership::MemberView> Members() const override;
+  std::optional<membership::MemberInfo> Find(
+      const InstanceId& id) const override;
+  std::vector<membership::RegionView> Regions() const override;
+  std::vector<membership::RegionView> AllRegions() const override;
   std::optional<membership::MemberInfo> ContactIn(const RegionId& region,
-                                                  uint64_t turn) const;
+                                                  uint64_t turn) const override;
+  void NoticeLeaving(const UpstreamId& upstream) override;
+
   /// What this instance tells of itself. Thread safe.
   membership::MemberInfo self() const;
 
--- a/Source/Core/Gateway/document_sync.cc
+++ b/Source/Core/Gateway/document_sync.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Core/Common/log.h"
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 #include "Core/Membership/duty.h"
 
 namespace basilvalve::gateway {
--- a/Source/Core/Gateway/entry_advisor.cc
+++ b/Source/Core/Gateway/entry_advisor.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 
 namespace basilvalve::gateway {
 namespace {
--- a/Source/Core/Gateway/explain.cc
+++ b/Source/Core/Gateway/explain.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 #include "Core/Gateway/request_parser.h"
 
 namespace basilvalve::gateway {
--- /dev/null
+++ b/Source/Core/Gateway/forwarded_calls.cc
@@ -0,0 +1,102 @@
+#include "Core/Gateway/forwarded_calls.h"
+
+#include "Core/Common/hash.h"
+
+namespace basilvalve::gateway {
+
+peer::StreamHeader BuildStreamHeader(const NodeParts& parts, const Call& call,
+                                     peer::Purpose purpose, uint32_t attempt,
+                                     Sequence sequence) {
+  peer::StreamHeader header;
+  header.sender = parts.self;
+  header.sender_region = parts.region;
+  header.incarnation = parts.incarnation;
+  header.sequence = sequence;
+  header.purpose = purpose;
+  header.request = call.id;
+  header.attempt = attempt;
+  header.service = call.service;
+  header.version =
+      call.record == nullptr ? DocumentVersion() : call.record->version;
+  header.method = call.method;
+  header.path = call.path;
+  header.query = call.query;
+  header.content_type = call.content_type;
+  header.traceparent = call.trace.ToHeader();
+  header.ticket = call.ticket;
+  header.idempotency_key = call.idempotency_key;
+  header.remaining = call.Remaining(parts.clock->Now());
+  header.hops = call.hops;
+  header.hops.push_back(parts.self);
+  header.regions = call.regions;
+  header.regions.push_back(parts.region);
+  header.body_bytes = call.body.size();
+  header.body_hash = Hash64(call.body);
+  header.streaming = call.streaming;
+  return header;
+}
+
+Call ForwardedCalls::BuildCall(const peer::StreamHeader& header) const {
+  Call call;
+  call.id = header.request;
+  call.trace = parts_->ids->Span(header.traceparent);
+  call.origin = header.sender_region == parts_->region
+                    ? CallOrigin::kSameRegion
+                    : CallOrigin::kOtherRegion;
+  call.service = header.service;
+  call.method = header.method;
+  call.path = header.path;
+  call.query = header.query;
+  call.content_type = header.content_type;
+  call.streaming = header.streaming;
+  call.ticket = header.ticket;
+  call.idempotency_key = header.idempotency_key;
+  call.arrived = parts_->clock->Now();
+  call.wanted_deadline = header.remaining;
+  call.hops = header.hops;
+  call.regions = header.regions;
+  call.sender_version = header.version;
+  return call;
+}
+
+Result<Call> ForwardedCalls::Accept(const peer::StreamHeader& header) {
+  Call call = BuildCall(header);
+  parts_->journal->Begin(call.id, call.service.value());
+  Result<void> passed = filters_.Apply(&call);
+  if (passed && header.remaining.count() <= 0) {
+    passed = Fail(ResultCode::kDeadlineTooShort, "no time is left");
+  }
+  // An owner that is stopping still decides over its tickets: nobody else can.
+  bool refuses =
+      parts_->draining->load() && header.purpose == peer::Purpose::kRun;
+  if (passed && refuses) {
+    passed = Fail(ResultCode::kDraining, "this instance is stopping");
+  }
+  if (!passed) {
+    Record(call, EndOf(passed.error()));
+    return tl::make_unexpected(passed.error());
+  }
+  return call;
+}
+
+CallEnd ForwardedCalls::Run(Call* call, peer::Purpose purpose,
+                            AnswerSink* sink) {
+  Result<void> passed = filters_.ApplyBody(call);
+  CallEnd end;
+  if (!passed) {
+    end = EndOf(passed.error());
+  } else if (purpose == peer::Purpose::kOwner && !call->idempotent) {
+    end = gate_->Run(*call, sink);
+  } else {
+    end = executor_->Run(*call, sink);
+  }
+  Record(*call, end);
+  return end;
+}
+
+void ForwardedCalls::Record(const Call& call, const CallEnd& end) {
+  parts_->journal->End(call.id, end.outcome, end.code);
+  parts_->metrics->CountRequest(end.code, end.outcome);
+}
+
+}  // namespace basilvalve::gateway
--- a/Source/Core/Gateway/node.cc
+++ b/Source/Core/Gateway/node.cc
@@ -13,9 +13,6 @@
 namespace basilvalve::gateway {
 namespace {
 
-constexpr size_t kJournalRequests = 20000;
-constexpr size_t kPrefixPairs = 200000;
-constexpr double kBytesPerMbit = 1e6 / 8;
 constexpr double kSummaryPromptTokens = 256;
 constexpr Millis kDrainPoll{20};
 // Time for the news of the departure to spread before the last socket closes.
@@ -29,33 +26,6 @@
   return endpoint;
 }
 
-routing::PolicySettings PolicyOf(const NodeSettings& settings) {
-  routing::PolicySettings policy;
-  for (int i = 0; i <= static_cast<int>(routing::ChooserKind::kPredicted);
-       ++i) {
-    auto kind = static_cast<routing::ChooserKind>(i);
-    policy.chooser =
-        routing::ChooserName(kind) == settings.chooser ? kind : policy.chooser;
-  }
-  policy.link.bytes_per_second =
-      static_cast<double>(settings.link_mbit) * kBytesPerMbit;
-  return policy;
-}
-
-claims::TicketLimits TicketLimitsOf(const NodeSettings& settings) {
-  claims::TicketLimits limits;
-  limits.valid = Seconds(settings.ticket_validity_s);
-  return limits;
-}
-
-claims::LedgerLimits LedgerLimitsOf(const NodeSettings& settings) {
-  claims::LedgerLimits limits;
-  // A ticket's answer is kept at least as long as the ticket itself is good
-  // for.
-  limits.keep = std::max(limits.keep, 2 * Seconds(settings.ticket_validity_s));
-  return limits;
-}
-
 peer::PeerSettings PeerSettingsOf(const NodeSettings& settings) {
   peer::PeerSettings peer;
   peer.heartbeat = Millis(settings.heartbeat_ms);
@@ -97,42 +67,13 @@
     : settings_(settings),
       platform_(std::move(platform)),
       keyring_(std::move(keyring)),
-      ids_(ProcessSeed()),
-      journal_(&clock_, kJournalRequests),
-      catalog_(&clock_),
-      documents_(platform_.store.get(), &catalog_),
-      call_ledger_(LedgerLimitsOf(settings)),
-      tickets_(TicketLimitsOf(settings), &call_ledger_),
-      store_claims_(platform_.store.get(), Seconds(settings.claim_keep_s)),
-      shares_({settings.max_in_flight}),
-      retries_({}),
-      upstreams_({}, {}),
-      prefixes_(kPrefixPairs),
-      router_(PolicyOf(settings), ProcessSeed()),
+      state_(settings_, &clock_, &keyring_, platform_.store.get(),
+             Incarnation(WallMillis()), ProcessSeed()),
+      parts_(state_.parts()),
       reactor_(PeerSettingsOf(settings),
                static_cast<size_t>(settings.peer_threads), &clock_),
       peers_(&reactor_, &keyring_) {
-  parts_.settings = &settings_;
-  parts_.clock = &clock_;
-  parts_.keyring = &keyring_;
-  parts_.self = InstanceId(settings.instance);
-  parts_.region = RegionId(settings.region);
-  parts_.incarnation = Incarnation(WallMillis());
-  parts_.ids = &ids_;
-  parts_.catalog = &catalog_;
-  parts_.documents = &documents_;
-  parts_.call_ledger = &call_ledger_;
-  parts_.tickets = &tickets_;
-  parts_.store_claims = &store_claims_;
-  parts_.shares = &shares_;
-  parts_.retries = &retries_;
-  parts_.upstreams = &upstreams_;
-  parts_.prefixes = &prefixes_;
-  parts_.router = &router_;
   parts_.peers = &peers_;
-  parts_.journal = &journal_;
-  parts_.metrics = &metrics_;
-  parts_.draining = &draining_;
 }
 
 Result<std::unique_ptr<Node>> Node::Start(const NodeSettings& settings,
@@ -194,10 +135,12 @@
   cluster.summary_period = Millis(settings_.summary_period_ms);
   cluster.region_stale = Millis(settings_.region_stale_ms);
   cluster_ = std::make_unique<Cluster>(cluster, std::move(self), ProcessSeed(),
-                                       &clock_, &keyring_, &metrics_);
+                                       &clock_, &keyring_, parts_.metrics);
   parts_.cluster = cluster_.get();
   peer_caller_ = std::make_unique<PeerCaller>(&parts_);
-  runner_ = std::make_unique<CallRunner>(&parts_, peer_caller_.get());
+  upstream_caller_ = std::make_unique<UpstreamCaller>(&parts_);
+  runner_ = std::make_unique<CallRunner>(&parts_, upstream_caller_.get(),
+                                         peer_caller_.get());
   gate_ =
       std::make_unique<ClaimGate>(&parts_, runner_.get(), peer_caller_.get());
   advisor_ = std::make_unique<EntryAdvisor>(&parts_);
@@ -205,8 +148,8 @@
   sync_ = std::make_unique<DocumentSync>(&parts_, platform_.store.get(),
                                          peer_caller_.get());
   poller_ = std::make_unique<PlatformPoller>(
-      &parts_, platform_.instance_list.get(), platform_.client_directory.get(),
-      advisor_.get());
+      &parts_, cluster_.get(), platform_.instance_list.get(),
+      platform_.client_directory.get(), advisor_.get());
   peer_api_ = std::make_unique<PeerApi>(&parts_, runner_.get(), gate_.get(),
                                         sync_.get(), explainer_.get());
   return cluster_->Start(MakeHooks());
@@ -245,15 +188,15 @@
 ClusterHooks Node::MakeHooks() {
   ClusterHooks hooks;
   hooks.summarise = [this] { return Summarise(); };
-  hooks.document_hash = [this] { return catalog_.DigestHash(); };
+  hooks.document_hash = [this] { return parts_.catalog->DigestHash(); };
   hooks.documents_differ = [this](const InstanceId& member) {
     sync_->OnDifference(member);
   };
   hooks.upstream_leaving = [this](const UpstreamId& upstream, Millis /*age*/) {
     constexpr Millis kHold{30000};
-    upstreams_.MarkLeaving(upstream, clock_.Now(), kHold);
+    parts_.upstreams->MarkLeaving(upstream, clock_.Now(), kHold);
   };
-  hooks.load_percent = [this] { return shares_.LoadPercent(); };
+  hooks.load_percent = [this] { return parts_.shares->LoadPercent(); };
   return hooks;
 }
 
@@ -262,18 +205,18 @@
   Instant now = clock_.Now();
   std::map<ModelName, std::vector<Micros>> models;
   std::map<ServiceName, size_t> services;
-  for (const platform::ListedInstance& it : upstreams_.Listed()) {
+  for (const platform::ListedInstance& it : parts_.upstreams->Listed()) {
     for (const ModelName& model : it.models) {
       models[model];
     }
     if (!it.service.empty()) {
       services[it.service] =
-          upstreams_.ServiceCandidates(it.service, {}, now).size();
+          parts_.upstreams->ServiceCandidates(it.service, {}, now).size();
     }
   }
   for (auto& [model, predicted] : models) {
     for (const routing::Candidate& it :
-         upstreams_.ModelCandidates(model, {}, now)) {
+         parts_.upstreams->ModelCandidates(model, {}, now)) {
       predicted.push_back(
           routing::PredictFirstToken(it, {kSummaryPromptTokens}, {}));
     }
@@ -313,7 +256,7 @@
 }
 
 void Node::BeginDrain() {
-  if (draining_.exchange(true)) {
+  if (parts_.draining->exchange(true)) {
     return;
   }
   LogEvent(LogLevel::kInfo, "node", "draining").With("active", active_.load());
@@ -322,7 +265,7 @@
 }
 
 bool Node::AwaitDrained() {
-  while (!draining_) {
+  while (!draining()) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   Instant begin = clock_.Now();
--- a/Source/Core/Gateway/node.h
+++ b/Source/Core/Gateway/node.h
@@ -8,12 +8,14 @@
 #include <mutex>
 
 #include "Core/Gateway/admin_api.h"
+#include "Core/Gateway/call_runner.h"
 #include "Core/Gateway/caller_api.h"
 #include "Core/Gateway/cluster.h"
 #include "Core/Gateway/document_sync.h"
-#include "Core/Gateway/node_parts.h"
+#include "Core/Gateway/node_state.h"
 #include "Core/Gateway/peer_api.h"
 #include "Core/Gateway/platform_poller.h"
+#include "Core/Gateway/upstream_caller.h"
 #include "Core/Platform/client_directory.h"
 #include "Core/Platform/instance_list.h"
 #include "Core/Platform/key_value_store.h"
@@ -49,7 +51,7 @@
   /// blocks.
   bool AwaitDrained();
   /// Whether a graceful stop has begun. Thread safe.
-  bool draining() const { return draining_.load(); }
+  bool draining() const { return parts_.draining->load(); }
 
   /// Addresses in use. Thread safe.
   http::Endpoint caller_endpoint() const { return caller_server_->endpoint(); }
@@ -71,29 +73,17 @@
   NodePlatform platform_;
   Keyring keyring_;
   SteadyClock clock_;
-  std::atomic<bool> draining_{false};
   std::atomic<bool> started_{false};
   std::atomic<int64_t> active_{0};
 
-  IdSource ids_;
-  NodeParts parts_;
-  observe::Metrics metrics_;
-  observe::RequestJournal journal_;
-  document::DocumentCatalog catalog_;
-  platform::DocumentStore documents_;
-  claims::CallLedger call_ledger_;
-  claims::TicketLedger tickets_;
-  claims::StoreClaims store_claims_;
-  admission::CustomerShares shares_;
-  admission::RetryBudget retries_;
-  routing::UpstreamTable upstreams_;
-  routing::PrefixIndex prefixes_;
-  routing::Router router_;
+  NodeState state_;
+  NodeParts& parts_;
   peer::Reactor reactor_;
   peer::PeerClient peers_;
 
   std::unique_ptr<Cluster> cluster_;
   std::unique_ptr<PeerCaller> peer_caller_;
+  std::unique_ptr<UpstreamCaller> upstream_caller_;
   std::unique_ptr<CallRunner> runner_;
   std::unique_ptr<ClaimGate> gate_;
   std::unique_ptr<EntryAdvisor> advisor_;
--- a/Source/Core/Gateway/node_parts.h
+++ b/Source/Core/Gateway/node_parts.h
@@ -22,7 +22,7 @@
 
 namespace basilvalve::gateway {
 
-class Cluster;
+class ClusterView;
 
 /// Random ids for many threads. Thread safe.
 class IdSource {
@@ -64,7 +64,7 @@
   routing::UpstreamTable* upstreams = nullptr;
   routing::PrefixIndex* prefixes = nullptr;
   routing::Router* router = nullptr;
-  Cluster* cluster = nullptr;
+  ClusterView* cluster = nullptr;
   peer::PeerClient* peers = nullptr;
   observe::RequestJournal* journal = nullptr;
   observe::Metrics* metrics = nullptr;
--- /dev/null
+++ b/Source/Core/Gateway/node_state.cc
@@ -0,0 +1,79 @@
+#include "Core/Gateway/node_state.h"
+
+#include <algorithm>
+
+namespace basilvalve::gateway {
+namespace {
+
+constexpr size_t kJournalRequests = 20000;
+constexpr size_t kPrefixPairs = 200000;
+constexpr double kBytesPerMbit = 1e6 / 8;
+
+routing::PolicySettings PolicyOf(const NodeSettings& settings) {
+  routing::PolicySettings policy;
+  for (int i = 0; i <= static_cast<int>(routing::ChooserKind::kPredicted);
+       ++i) {
+    auto kind = static_cast<routing::ChooserKind>(i);
+    policy.chooser =
+        routing::ChooserName(kind) == settings.chooser ? kind : policy.chooser;
+  }
+  policy.link.bytes_per_second =
+      static_cast<double>(settings.link_mbit) * kBytesPerMbit;
+  return policy;
+}
+
+claims::TicketLimits TicketLimitsOf(const NodeSettings& settings) {
+  claims::TicketLimits limits;
+  limits.valid = Seconds(settings.ticket_validity_s);
+  return limits;
+}
+
+claims::LedgerLimits LedgerLimitsOf(const NodeSettings& settings) {
+  claims::LedgerLimits limits;
+  // A ticket's answer is kept at least as long as the ticket itself is good
+  // for.
+  limits.keep = std::max(limits.keep, 2 * Seconds(settings.ticket_validity_s));
+  return limits;
+}
+
+}  // namespace
+
+NodeState::NodeState(const NodeSettings& settings, const Clock* clock,
+                     const Keyring* keyring, platform::KeyValueStore* store,
+                     Incarnation incarnation, uint64_t seed)
+    : settings_(settings),
+      ids_(seed),
+      journal_(clock, kJournalRequests),
+      catalog_(clock),
+      documents_(store, &catalog_),
+      call_ledger_(LedgerLimitsOf(settings)),
+      tickets_(TicketLimitsOf(settings), &call_ledger_),
+      store_claims_(store, Seconds(settings.claim_keep_s)),
+      shares_({settings.max_in_flight}),
+      retries_({}),
+      upstreams_({}, {}),
+      prefixes_(kPrefixPairs),
+      router_(PolicyOf(settings), seed) {
+  parts_.settings = &settings_;
+  parts_.clock = clock;
+  parts_.keyring = keyring;
+  parts_.self = InstanceId(settings.instance);
+  parts_.region = RegionId(settings.region);
+  parts_.incarnation = incarnation;
+  parts_.ids = &ids_;
+  parts_.catalog = &catalog_;
+  parts_.documents = &documents_;
+  parts_.call_ledger = &call_ledger_;
+  parts_.tickets = &tickets_;
+  parts_.store_claims = &store_claims_;
+  parts_.shares = &shares_;
+  parts_.retries = &retries_;
+  parts_.upstreams = &upstreams_;
+  parts_.prefixes = &prefixes_;
+  parts_.router = &router_;
+  parts_.journal = &journal_;
+  parts_.metrics = &metrics_;
+  parts_.draining = &draining_;
+}
+
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/Core/Gateway/node_state.h
@@ -0,0 +1,48 @@
+// The state of one instance that handling calls needs, without threads or
+// sockets.
+#pragma once
+
+#include <atomic>
+
+#include "Core/Gateway/node_parts.h"
+#include "Core/Platform/key_value_store.h"
+
+namespace basilvalve::gateway {
+
+/// Owns the state and hands out borrowed pointers to it. The network-facing
+/// parts
+/// (`cluster`, `peers`) are set by whoever builds the instance. Thread safe as
+/// its parts are.
+class NodeState {
+ public:
+  /// Pre: the pointers outlive the state; the settings were checked.
+  NodeState(const NodeSettings& settings, const Clock* clock,
+            const Keyring* keyring, platform::KeyValueStore* store,
+            Incarnation incarnation, uint64_t seed);
+  NodeState(const NodeState&) = delete;
+  NodeState& operator=(const NodeState&) = delete;
+
+  /// Pointers to the parts. Thread safe once the instance is built.
+  NodeParts& parts() { return parts_; }
+  const NodeParts& parts() const { return parts_; }
+
+ private:
+  NodeSettings settings_;
+  IdSource ids_;
+  observe::Metrics metrics_;
+  observe::RequestJournal journal_;
+  document::DocumentCatalog catalog_;
+  platform::DocumentStore documents_;
+  claims::CallLedger call_ledger_;
+  claims::TicketLedger tickets_;
+  claims::StoreClaims store_claims_;
+  admission::CustomerShares shares_;
+  admission::RetryBudget retries_;
+  routing::UpstreamTable upstreams_;
+  routing::PrefixIndex prefixes_;
+  routing::Router router_;
+  std::atomic<bool> draining_{false};
+  NodeParts parts_;
+};
+
+}  // namespace basilvalve::gateway
--- a/Source/Core/Gateway/peer_api.cc
+++ b/Source/Core/Gateway/peer_api.cc
@@ -36,62 +36,24 @@
 
 }  // namespace
 
-Call PeerApi::BuildCall(const peer::StreamHeader& header) const {
-  Call call;
-  call.id = header.request;
-  call.trace = parts_->ids->Span(header.traceparent);
-  call.origin = header.sender_region == parts_->region
-                    ? CallOrigin::kSameRegion
-                    : CallOrigin::kOtherRegion;
-  call.service = header.service;
-  call.method = header.method;
-  call.path = header.path;
-  call.query = header.query;
-  call.content_type = header.content_type;
-  call.streaming = header.streaming;
-  call.ticket = header.ticket;
-  call.idempotency_key = header.idempotency_key;
-  call.arrived = parts_->clock->Now();
-  call.wanted_deadline = header.remaining;
-  call.hops = header.hops;
-  call.regions = header.regions;
-  call.sender_version = header.version;
-  return call;
-}
-
 void PeerApi::HandleCall(peer::ServerStream* stream) {
   const peer::StreamHeader& header = stream->header();
-  Call call = BuildCall(header);
-  parts_->journal->Begin(call.id, call.service.value());
-  Result<void> passed = filters_.Apply(&call);
-  if (passed && header.remaining.count() <= 0) {
-    passed = Fail(ResultCode::kDeadlineTooShort, "no time is left");
-  }
-  if (passed && parts_->draining->load() &&
-      header.purpose == peer::Purpose::kRun) {
-    passed = Fail(ResultCode::kDraining, "this instance is stopping");
-  }
-  if (!passed) {
-    parts_->journal->End(call.id, passed.error().outcome, passed.error().code);
-    stream->Refuse(passed.error());
+  Result<Call> accepted = calls_.Accept(header);
+  if (!accepted) {
+    stream->Refuse(accepted.error());
     return;
   }
+  Call call = std::move(*accepted);
   Result<std::string> body =
       stream->AcceptBody(std::min(call.deadline, call.arrived + kBodyLimit));
   if (!body) {
-    parts_->journal->End(call.id, body.error().outcome, body.error().code);
+    calls_.Record(call, EndOf(body.error()));
     stream->FinishWithError(body.error());
     return;
   }
   call.body = std::move(*body);
   StreamSink sink(stream);
-  Result<void> prompt = filters_.ApplyBody(&call);
-  CallEnd end = !prompt ? EndOf(prompt.error())
-                : header.purpose == peer::Purpose::kOwner && !call.idempotent
-                    ? gate_->Run(call, &sink)
-                    : runner_->Run(call, &sink);
-  parts_->journal->End(call.id, end.outcome, end.code);
-  parts_->metrics->CountRequest(end.code, end.outcome);
+  CallEnd end = calls_.Run(&call, header.purpose, &sink);
   if (sink.begun()) {
     stream->Finish(end.outcome, end.code, end.message);
   } else {
--- a/Source/Core/Gateway/peer_api.h
+++ b/Source/Core/Gateway/peer_api.h
@@ -1,10 +1,9 @@
 // Handles streams from other instances.
 #pragma once
 
-#include "Core/Gateway/claim_gate.h"
 #include "Core/Gateway/document_sync.h"
 #include "Core/Gateway/explain.h"
-#include "Core/Gateway/filters.h"
+#include "Core/Gateway/forwarded_calls.h"
 #include "Core/Peer/peer_server.h"
 
 namespace basilvalve::gateway {
@@ -12,12 +11,10 @@
 /// Runs forwarded calls and answers questions of other instances. Thread safe.
 class PeerApi : public peer::StreamHandler {
  public:
-  PeerApi(const NodeParts* parts, CallRunner* runner, ClaimGate* gate,
+  PeerApi(const NodeParts* parts, CallExecutor* executor, ClaimGate* gate,
           DocumentSync* documents, Explainer* explainer)
       : parts_(parts),
-        filters_(FilterChain::ForPeers(parts)),
-        runner_(runner),
-        gate_(gate),
+        calls_(parts, executor, gate),
         documents_(documents),
         explainer_(explainer) {}
 
@@ -27,12 +24,9 @@
   void HandleCall(peer::ServerStream* stream);
   void HandleDocuments(peer::ServerStream* stream);
   void HandleOutcome(peer::ServerStream* stream);
-  Call BuildCall(const peer::StreamHeader& header) const;
 
   const NodeParts* parts_;
-  FilterChain filters_;
-  CallRunner* runner_;
-  ClaimGate* gate_;
+  ForwardedCalls calls_;
   DocumentSync* documents_;
   Explainer* explainer_;
 };
--- a/Source/Core/Gateway/peer_caller.cc
+++ b/Source/Core/Gateway/peer_caller.cc
@@ -1,6 +1,6 @@
 #include "Core/Gateway/peer_caller.h"
 
-#include "Core/Common/hash.h"
+#include "Core/Gateway/forwarded_calls.h"
 
 namespace basilvalve::gateway {
 namespace {
@@ -12,44 +12,13 @@
 
 }  // namespace
 
-peer::StreamHeader PeerCaller::BuildHeader(const Call& call,
-                                           peer::Purpose purpose,
-                                           uint32_t attempt) {
-  peer::StreamHeader header;
-  header.sender = parts_->self;
-  header.sender_region = parts_->region;
-  header.incarnation = parts_->incarnation;
-  header.sequence = Sequence(next_sequence_.fetch_add(1));
-  header.purpose = purpose;
-  header.request = call.id;
-  header.attempt = attempt;
-  header.service = call.service;
-  header.version =
-      call.record == nullptr ? DocumentVersion() : call.record->version;
-  header.method = call.method;
-  header.path = call.path;
-  header.query = call.query;
-  header.content_type = call.content_type;
-  header.traceparent = call.trace.ToHeader();
-  header.ticket = call.ticket;
-  header.idempotency_key = call.idempotency_key;
-  header.remaining = call.Remaining(parts_->clock->Now());
-  header.hops = call.hops;
-  header.hops.push_back(parts_->self);
-  header.regions = call.regions;
-  header.regions.push_back(parts_->region);
-  header.body_bytes = call.body.size();
-  header.body_hash = Hash64(call.body);
-  header.streaming = call.streaming;
-  return header;
-}
-
 CallEnd PeerCaller::Run(const Call& call, const membership::MemberInfo& to,
                         peer::Purpose purpose, uint32_t attempt,
                         AnswerSink* sink) {
   Instant begin = parts_->clock->Now();
-  Result<std::unique_ptr<peer::ClientStream>> stream =
-      parts_->peers->Open(to.peer, BuildHeader(call, purpose, attempt));
+  Result<std::unique_ptr<peer::ClientStream>> stream = parts_->peers->Open(
+      to.peer, BuildStreamHeader(*parts_, call, purpose, attempt,
+                                 Sequence(next_sequence_.fetch_add(1))));
   if (!stream) {
     return EndOf(stream.error());
   }
--- a/Source/Core/Gateway/peer_caller.h
+++ b/Source/Core/Gateway/peer_caller.h
@@ -1,22 +1,20 @@
 // Forwards a call to another instance.
 #pragma once
 
-#include "Core/Gateway/call.h"
+#include "Core/Gateway/call_ports.h"
 #include "Core/Gateway/node_parts.h"
-#include "Core/Membership/control_message.h"
 
 namespace basilvalve::gateway {
 
 /// Sends calls to other instances: header first, body after the go-ahead.
 /// Thread safe.
-class PeerCaller {
+class PeerCaller : public PeerPort {
  public:
   explicit PeerCaller(const NodeParts* parts) : parts_(parts) {}
 
-  /// Runs one attempt through another instance. The outcome is kNotRun if the
-  /// body was not sent or the other side says so. Thread safe; blocks.
   CallEnd Run(const Call& call, const membership::MemberInfo& to,
-              peer::Purpose purpose, uint32_t attempt, AnswerSink* sink);
+              peer::Purpose purpose, uint32_t attempt,
+              AnswerSink* sink) override;
   /// Asks another instance for a small answer, such as documents or an outcome.
   /// Thread safe; blocks at most `limit`.
   Result<std::string> Ask(const membership::MemberInfo& to,
@@ -24,8 +22,6 @@
                           const std::string& body, Millis limit);
 
  private:
-  peer::StreamHeader BuildHeader(const Call& call, peer::Purpose purpose,
-                                 uint32_t attempt);
   CallEnd Relay(const Call& call, peer::ClientStream* stream, AnswerSink* sink);
 
   const NodeParts* parts_;
--- a/Source/Core/Gateway/platform_poller.cc
+++ b/Source/Core/Gateway/platform_poller.cc
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 
 #include "Core/Common/log.h"
-#include "Core/Gateway/cluster.h"
 #include "Core/Http/http_client.h"
 #include "Core/Membership/duty.h"
 
@@ -24,11 +23,15 @@
 
 }  // namespace
 
-PlatformPoller::PlatformPoller(const NodeParts* parts,
+PlatformPoller::PlatformPoller(const NodeParts* parts, Cluster* cluster,
                                platform::InstanceList* list,
                                platform::ClientDirectory* directory,
                                const EntryAdvisor* advisor)
-    : parts_(parts), list_(list), directory_(directory), advisor_(advisor) {}
+    : parts_(parts),
+      cluster_(cluster),
+      list_(list),
+      directory_(directory),
+      advisor_(advisor) {}
 
 PlatformPoller::~PlatformPoller() { Stop(); }
 
@@ -62,7 +65,7 @@
   if (list_rounds_++ % kFullListRounds == 0) {
     Result<std::vector<platform::ListedInstance>> all = list_->Read(RegionId());
     if (all) {
-      parts_->cluster->Introduce(*all);
+      cluster_->Introduce(*all);
     }
   }
   Result<std::vector<platform::ListedInstance>> listed =
--- a/Source/Core/Gateway/platform_poller.h
+++ b/Source/Core/Gateway/platform_poller.h
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "Core/Gateway/cluster.h"
 #include "Core/Gateway/entry_advisor.h"
 #include "Core/Gateway/node_parts.h"
 #include "Core/Platform/client_directory.h"
@@ -21,7 +22,8 @@
 class PlatformPoller {
  public:
   /// `directory` may be null. Pre: the pointers outlive the poller.
-  PlatformPoller(const NodeParts* parts, platform::InstanceList* list,
+  PlatformPoller(const NodeParts* parts, Cluster* cluster,
+                 platform::InstanceList* list,
                  platform::ClientDirectory* directory,
                  const EntryAdvisor* advisor);
   ~PlatformPoller();
@@ -44,6 +46,7 @@
   bool Wait(Millis time);
 
   const NodeParts* parts_;
+  Cluster* cluster_;
   platform::InstanceList* list_;
   platform::ClientDirectory* directory_;
   const EntryAdvisor* advisor_;
--- a/Source/Core/Gateway/upstream_caller.cc
+++ b/Source/Core/Gateway/upstream_caller.cc
@@ -4,7 +4,7 @@
 
 #include "Core/Common/log.h"
 #include "Core/Gateway/answer_check.h"
-#include "Core/Gateway/cluster.h"
+#include "Core/Gateway/cluster_view.h"
 #include "Core/Http/http_client.h"
 
 namespace basilvalve::gateway {
