--- a/Source/Basilvalved/main.cc
+++ b/Source/Basilvalved/main.cc
@@ -36,13 +36,13 @@
     return Fault(node.error());
   }
   std::thread waiter([&signals, raw = node->get()] {
-    int signal = 0;
-    sigwait(&signals, &signal);
+    // A drain may also be asked for over the admin address.
+    constexpr timespec kPoll{0, 100'000'000};
+    while (!raw->draining() && sigtimedwait(&signals, nullptr, &kPoll) < 0) {
+    }
     raw->BeginDrain();
   });
   bool finished = (*node)->AwaitDrained();
-  // A drain asked for over the admin address leaves the waiter in sigwait.
-  pthread_kill(waiter.native_handle(), SIGTERM);
   waiter.join();
   node->reset();
   return finished ? 0 : kCutOffExit;
--- a/Source/Core/Gateway/call_runner.cc
+++ b/Source/Core/Gateway/call_runner.cc
@@ -47,10 +47,12 @@
   if (call.origin == CallOrigin::kOtherRegion) {
     return options;
   }
+  document::RecordPtr newest = parts_->catalog->Find(call.service);
   for (const membership::RegionView& it : parts_->cluster->Regions()) {
     const RegionId& region = it.summary.region;
-    bool barred = !call.record->document.Permits(region) ||
-                  it.summary.contacts.empty() ||
+    bool forbidden = !call.record->document.Permits(region) ||
+                     (newest != nullptr && !newest->document.Permits(region));
+    bool barred = forbidden || it.summary.contacts.empty() ||
                   Contains(attempts.tried_regions, region) ||
                   Contains(call.regions, region);
     if (barred) {
@@ -161,6 +163,13 @@
     parts_->metrics->CountSentAway();
     return peers_->Run(call, *contact, peer::Purpose::kRun, attempt, sink);
   }
+  // A stricter document may have come into force since the filters looked.
+  document::RecordPtr newest = parts_->catalog->Find(call.service);
+  if (newest != nullptr && !newest->document.Permits(parts_->region)) {
+    parts_->journal->Step(call.id, "route", "refuse", "newer document");
+    return EndOf(MakeError(ResultCode::kResidencyForbidden,
+                           "a newer document forbids this region"));
+  }
   const routing::Candidate& chosen = input.local[decision.index];
   attempts->tried.push_back(chosen.handle);
   parts_->journal->Step(call.id, "route",
--- a/Source/Core/Gateway/document_sync.cc
+++ b/Source/Core/Gateway/document_sync.cc
@@ -68,7 +68,7 @@
                              membership::kStoreReaders);
 }
 
-OfferResult DocumentSync::Offer(RecordPtr record, bool is_reader) {
+OfferResult DocumentSync::Offer(const RecordPtr& record, bool is_reader) {
   OfferResult result = parts_->catalog->Offer(record);
   if (result != OfferResult::kApplied) {
     return result;
--- a/Source/Core/Gateway/document_sync.h
+++ b/Source/Core/Gateway/document_sync.h
@@ -32,7 +32,8 @@
   /// Stops the threads. Call once.
   void Stop();
   /// Puts a record in force; a new one is passed on. Thread safe.
-  document::OfferResult Offer(document::RecordPtr record, bool is_reader);
+  document::OfferResult Offer(const document::RecordPtr& record,
+                              bool is_reader);
   /// Notes that a member holds other documents. Thread safe.
   void OnDifference(const InstanceId& member);
   /// Takes the text another instance sent and returns the records it lacks, in
--- a/Source/Core/Gateway/platform_poller.cc
+++ b/Source/Core/Gateway/platform_poller.cc
@@ -79,8 +79,12 @@
   std::erase_if(*listed, [](const platform::ListedInstance& it) {
     return it.kind == platform::ListedKind::kGateway;
   });
-  std::vector<platform::ListedInstance> used =
-      routing::UpstreamSubset(*listed, parts_->self.value(), subset_);
+  std::vector<std::string> instances;
+  for (const membership::MemberInfo& it : parts_->cluster->Live()) {
+    instances.push_back(it.id.value());
+  }
+  std::vector<platform::ListedInstance> used = routing::UpstreamSubset(
+      *listed, instances, parts_->self.value(), subset_);
   parts_->upstreams->Refresh(used);
   std::lock_guard lock(mutex_);
   upstreams_ = std::move(used);
--- a/Source/Core/Http/http_message.cc
+++ b/Source/Core/Http/http_message.cc
@@ -41,7 +41,10 @@
   auto it = std::find_if(
       headers.begin(), headers.end(),
       [name](const Header& header) { return SameName(header.name, name); });
-  return it == headers.end() ? std::string_view() : std::string_view(it->value);
+  if (it == headers.end()) {
+    return {};
+  }
+  return it->value;
 }
 
 size_t CountHeader(const Headers& headers, std::string_view name) {
--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -28,11 +28,22 @@
 
 constexpr size_t kReadBytes = 16384;
 constexpr int kPortAttempts = 20;
+constexpr int kBadRequest = 400;
 
 cxxtools::Milliseconds ToLibrary(std::chrono::milliseconds time) {
   return cxxtools::Milliseconds(static_cast<double>(time.count()));
 }
 
+/// Whether the length of the body is stated once and in digits.
+bool HasSoundFraming(const Headers& headers) {
+  std::string_view length = FindHeader(headers, "Content-Length");
+  bool chunked = CountHeader(headers, "Transfer-Encoding") > 0;
+  bool digits =
+      length.find_first_not_of("0123456789") == std::string_view::npos;
+  size_t lengths = CountHeader(headers, "Content-Length");
+  return digits && lengths <= 1 && (lengths == 0 || !chunked);
+}
+
 class HandlerResponder;
 
 /// Creates a responder for each request and carries what they share.
@@ -95,6 +106,12 @@
              cxxtools::http::Reply& reply) override {
     out_ = &out;
     reply_ = &reply;
+    if (!HasSoundFraming(request_.headers)) {
+      // The library takes such a length as none; a reader behind a proxy might
+      // not.
+      Reply(kBadRequest, {}, "the body's length is not clear");
+      return;
+    }
     service_->handler()->Handle(this);
     if (streaming_) {
       // The library appends a reply of its own to the connection; shutting the
--- a/Source/Core/Peer/peer_message.cc
+++ b/Source/Core/Peer/peer_message.cc
@@ -42,6 +42,7 @@
 template <typename Id>
 std::vector<Id> ToIds(const std::vector<std::string>& texts) {
   std::vector<Id> ids;
+  ids.reserve(texts.size());
   for (const std::string& it : texts) {
     ids.emplace_back(it);
   }
--- a/Source/Core/Platform/document_store.cc
+++ b/Source/Core/Platform/document_store.cc
@@ -97,8 +97,16 @@
   // following parents.
   std::string key =
       document::HistoryKey(record.document.name, record.version, record.change);
-  Result<SwapReply> reply = store_->CompareAndSwap(
-      key, document::FormatRecord(record), kAbsent, kNoLease);
+  std::string text = document::FormatRecord(record);
+  Result<SwapReply> reply;
+  // The key is the change's own, so writing it again after a lost reply is
+  // harmless.
+  for (int i = 0; i < kReadBackAttempts; ++i) {
+    reply = store_->CompareAndSwap(key, text, kAbsent, kNoLease);
+    if (reply || reply.error().outcome == Outcome::kNotRun) {
+      break;
+    }
+  }
   if (!reply) {
     return tl::make_unexpected(reply.error());
   }
--- a/Source/Core/Routing/upstream_subset.cc
+++ b/Source/Core/Routing/upstream_subset.cc
@@ -1,7 +1,6 @@
 #include "Core/Routing/upstream_subset.h"
 
 #include <algorithm>
-#include <set>
 
 #include "Core/Platform/rendezvous.h"
 
@@ -9,22 +8,18 @@
 
 std::vector<platform::ListedInstance> UpstreamSubset(
     const std::vector<platform::ListedInstance>& upstreams,
-    std::string_view self, const SubsetSettings& settings) {
-  if (upstreams.size() <= settings.max_upstreams) {
+    const std::vector<std::string>& instances, std::string_view self,
+    const SubsetSettings& settings) {
+  if (upstreams.size() <= settings.mean_upstreams) {
     return upstreams;
   }
-  std::vector<std::string> ids;
-  ids.reserve(upstreams.size());
-  for (const platform::ListedInstance& it : upstreams) {
-    ids.push_back(it.id);
-  }
-  std::vector<std::string> chosen =
-      platform::ChooseMembers(ids, self, settings.max_upstreams);
-  std::set<std::string> wanted(chosen.begin(), chosen.end());
+  size_t users =
+      std::max(settings.min_users,
+               settings.mean_upstreams * instances.size() / upstreams.size());
   std::vector<platform::ListedInstance> subset;
   std::copy_if(upstreams.begin(), upstreams.end(), std::back_inserter(subset),
-               [&wanted](const platform::ListedInstance& it) {
-                 return wanted.contains(it.id);
+               [&](const platform::ListedInstance& it) {
+                 return platform::IsChosen(instances, self, it.id, users);
                });
   return subset;
 }
--- a/Source/Core/Routing/upstream_subset.h
+++ b/Source/Core/Routing/upstream_subset.h
@@ -12,9 +12,12 @@
 /// Bounds that keep the load reports of a large region within a node's control
 /// budget.
 struct SubsetSettings {
-  /// Upstreams that one instance uses at most. Regions with fewer are used
+  /// Upstreams that one instance uses on average. Regions with fewer are used
   /// whole.
-  size_t max_upstreams = 64;
+  size_t mean_upstreams = 64;
+  /// Instances that use the same upstream at least, so that losing one of them
+  /// does not leave it idle.
+  size_t min_users = 2;
   /// Bytes per second that load reports may take.
   double bytes_per_second = 2500;
   /// Bytes of one report with its request and headers.
@@ -22,12 +25,14 @@
   Millis min_period{500};
 };
 
-/// The upstreams an instance uses: all, or the `max_upstreams` with the highest
-/// hash against its name, so that each upstream is used by about the same
-/// number of instances. Thread safe.
+/// The upstreams an instance uses: all, or those whose users it is among. Each
+/// upstream has the same number of users, chosen by hash among the region's
+/// live instances, so that none is left out and a change of the membership
+/// moves few of them. Thread safe.
 std::vector<platform::ListedInstance> UpstreamSubset(
     const std::vector<platform::ListedInstance>& upstreams,
-    std::string_view self, const SubsetSettings& settings);
+    const std::vector<std::string>& instances, std::string_view self,
+    const SubsetSettings& settings);
 
 /// Time between two reports of the same upstream. Thread safe.
 Millis ReportPeriod(size_t upstreams, const SubsetSettings& settings);
--- /dev/null
+++ b/Source/UnitTests/Core/Admission/admission_test.cc
@@ -0,0 +1,115 @@
+#include <catch2/catch.hpp>
+
+#include "Core/Admission/breaker.h"
+#include "Core/Admission/concurrency_limit.h"
+#include "Core/Admission/customer_shares.h"
+#include "Core/Admission/retry_budget.h"
+
+namespace basilvalve::admission {
+namespace {
+
+Instant At(int64_t ms) { return Instant(Seconds(1)) + Millis(ms); }
+
+TEST_CASE(
+    "a breaker opens after failures in a row and lets one probe through") {
+  Breaker breaker({});
+  breaker.OnFailure(At(0));
+  breaker.OnFailure(At(0));
+  breaker.OnSuccess();
+  breaker.OnFailure(At(0));
+  breaker.OnFailure(At(0));
+  CHECK(breaker.Allows(At(0)));
+  breaker.OnFailure(At(0));
+  CHECK(breaker.StateAt(At(0)) == BreakerState::kOpen);
+  CHECK_FALSE(breaker.Allows(At(999)));
+  CHECK(breaker.Allows(At(1000)));
+  breaker.OnStart(At(1000));
+  CHECK_FALSE(breaker.Allows(At(1000)));
+  breaker.OnFailure(At(1001));
+  CHECK_FALSE(breaker.Allows(At(2500)));  // open twice as long
+  CHECK(breaker.Allows(At(3001)));
+  breaker.OnStart(At(3001));
+  breaker.OnNeutral();
+  CHECK(breaker.Allows(At(3001)));  // a cancelled probe gives its place back
+  breaker.OnStart(At(3001));
+  breaker.OnSuccess();
+  CHECK(breaker.StateAt(At(3001)) == BreakerState::kClosed);
+}
+
+TEST_CASE("calls that were on their way do not lengthen the open time") {
+  Breaker breaker({});
+  for (int i = 0; i < 50; ++i) {
+    breaker.OnFailure(At(0));
+  }
+  CHECK(breaker.Allows(At(1000)));
+}
+
+TEST_CASE("a concurrency limit grows while used and falls on late answers") {
+  ConcurrencyLimit limit({});
+  double start = limit.limit();
+  limit.OnResult(true, 0, At(0));
+  CHECK(limit.limit() == start);
+  limit.OnResult(true, 31, At(0));
+  CHECK(limit.limit() > start);
+  limit.OnResult(false, 31, At(0));
+  double lowered = limit.limit();
+  CHECK(lowered < start);
+  limit.OnResult(false, 31, At(500));
+  CHECK(limit.limit() == lowered);  // one decrease in an interval
+  for (int i = 0; i < 1000; ++i) {
+    limit.OnResult(false, 31, At(int64_t{1000} * (i + 2)));
+  }
+  CHECK(limit.limit() == ConcurrencySettings{}.min);
+  CHECK(limit.Admits(1));
+  CHECK_FALSE(limit.Admits(2));
+}
+
+TEST_CASE("one customer's storm leaves room for the others") {
+  CustomerShares shares({100, 0.75});
+  int admitted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    admitted += shares.Enter(CustomerId("storm"), 0).has_value() ? 1 : 0;
+  }
+  CHECK(admitted == 75);
+  CHECK(shares.Enter(CustomerId("storm"), 0).error().code ==
+        ResultCode::kCustomerLimit);
+  int quiet = 0;
+  for (int i = 0; i < 1000; ++i) {
+    quiet += shares.Enter(CustomerId("quiet"), 0).has_value() ? 1 : 0;
+  }
+  CHECK(quiet == 25);
+  CHECK(shares.Enter(CustomerId("third"), 0).error().code ==
+        ResultCode::kOverloaded);
+  shares.Leave(CustomerId("storm"));
+  CHECK(shares.Enter(CustomerId("third"), 0).has_value());
+}
+
+TEST_CASE("a document's own limit is kept, and places are given back") {
+  CustomerShares shares({100, 0.75});
+  CHECK(shares.Enter(CustomerId("a"), 2).has_value());
+  CHECK(shares.Enter(CustomerId("a"), 2).has_value());
+  CHECK(shares.Enter(CustomerId("a"), 2).error().code ==
+        ResultCode::kCustomerLimit);
+  shares.Leave(CustomerId("a"));
+  CHECK(shares.Enter(CustomerId("a"), 2).has_value());
+  shares.Leave(CustomerId("nobody"));
+  CHECK(shares.InFlight() == 2);
+}
+
+TEST_CASE("retries stay a share of first attempts") {
+  RetryBudget budget({});
+  ServiceName service("s");
+  int retries = 0;
+  for (int i = 0; i < 10000; ++i) {
+    budget.OnFirstAttempt(service, At(0));
+    retries += budget.TryTake(service, At(0)) ? 1 : 0;
+  }
+  CHECK(retries >= 1000);
+  CHECK(retries <= 1011);
+  CHECK_FALSE(budget.TryTake(service, At(0)));
+  CHECK(budget.TryTake(service, At(2000)));
+  CHECK(budget.TryTake(ServiceName("other"), At(0)));
+}
+
+}  // namespace
+}  // namespace basilvalve::admission
--- /dev/null
+++ b/Source/UnitTests/Core/Common/keyring_test.cc
@@ -0,0 +1,46 @@
+#include "Core/Common/keyring.h"
+
+#include <catch2/catch.hpp>
+
+#include "Core/Common/hash.h"
+
+namespace basilvalve {
+namespace {
+
+constexpr std::string_view kOld = "old-key-0123456789";
+constexpr std::string_view kNew = "new-key-0123456789";
+
+TEST_CASE("while keys are rolled, both sides accept each other") {
+  Keyring before = *Keyring::FromSetting(kOld);
+  Keyring during =
+      *Keyring::FromSetting(std::string(kNew) + "," + std::string(kOld));
+  Keyring after = *Keyring::FromSetting(kNew);
+  CHECK(during.Verify("m", before.Sign("m")));
+  CHECK(during.Verify("m", after.Sign("m")));
+  CHECK(after.Verify("m", during.Sign("m")));
+  CHECK_FALSE(after.Verify("m", before.Sign("m")));
+  CHECK_FALSE(during.Verify("n", during.Sign("m")));
+}
+
+TEST_CASE("settings that are no keys") {
+  for (const char* it :
+       {"", "short", "long-enough-key-0001,", "a,b,c",
+        "long-enough-key-0001,long-enough-key-0002,long-enough-key-0003"}) {
+    CHECK_FALSE(Keyring::FromSetting(it).has_value());
+  }
+}
+
+TEST_CASE("a running hash equals the hash of the whole") {
+  StreamHash hash;
+  hash.Add("whole ");
+  hash.Add("");
+  hash.Add("answer");
+  CHECK(hash.Digest() == Hash64("whole answer"));
+  CHECK(hash.Length() == 12);
+  CHECK(ConstantTimeEqual("abc", "abc"));
+  CHECK_FALSE(ConstantTimeEqual("abc", "abd"));
+  CHECK_FALSE(ConstantTimeEqual("abc", "ab"));
+}
+
+}  // namespace
+}  // namespace basilvalve
--- /dev/null
+++ b/Source/UnitTests/Core/Http/http_contract_test.cc
@@ -0,0 +1,244 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "Core/Http/http_client.h"
+#include "Core/Http/http_server.h"
+
+namespace basilvalve::http {
+namespace {
+
+/// Answers each connection with fixed bytes and closes it; counts requests.
+class RawServer {
+ public:
+  explicit RawServer(std::string answer) : answer_(std::move(answer)) {
+    fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    socklen_t n = sizeof(address);
+    (void)::bind(fd_, reinterpret_cast<sockaddr*>(&address), n);
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &n);
+    ::listen(fd_, 16);
+    endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~RawServer() {
+    ::shutdown(fd_, SHUT_RDWR);
+    thread_.join();
+    ::close(fd_);
+  }
+
+  Endpoint endpoint;
+  std::atomic<int> requests{0};
+
+ private:
+  void Run() {
+    while (true) {
+      int connection = ::accept(fd_, nullptr, nullptr);
+      if (connection < 0) {
+        return;
+      }
+      char buf[4096];
+      requests += ::recv(connection, buf, sizeof(buf), 0) > 0 ? 1 : 0;
+      ::send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+      ::close(connection);
+    }
+  }
+
+  std::string answer_;
+  int fd_;
+  std::thread thread_;
+};
+
+struct Collected : ResponseSink {
+  bool OnHead(const ResponseHead& head) override {
+    status = head.status;
+    return true;
+  }
+  bool OnBody(std::string_view piece) override {
+    body.append(piece);
+    return body.size() < stop_at;
+  }
+  int status = 0;
+  std::string body;
+  size_t stop_at = 1 << 20;
+};
+
+const Request kPost{"POST", "/x", "a=1", {{"X-One", "1"}}, "body"};
+
+TEST_CASE(
+    "an answer cut at any place is never taken for a whole one with a length") {
+  struct Row {
+    const char* name;
+    std::string answer;
+    CallEnd end;
+    bool head;
+  };
+  std::vector<Row> rows = {
+      {"no answer", "", CallEnd::kBroken, false},
+      {"cut status line", "HTTP/1.1 20", CallEnd::kBroken, false},
+      {"cut headers", "HTTP/1.1 200 OK\r\nContent-Le", CallEnd::kBroken, false},
+      {"junk", "garbage\r\n\r\n", CallEnd::kBroken, false},
+      {"short body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+       CallEnd::kBroken, true},
+      {"cut chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+       CallEnd::kBroken, true},
+      {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+       CallEnd::kComplete, true},
+      {"empty", "HTTP/1.1 204 No\r\nContent-Length: 0\r\n\r\n",
+       CallEnd::kComplete, true},
+  };
+  for (const Row& row : rows) {
+    RawServer server(row.answer);
+    Collected sink;
+    CallReport report = Execute(server.endpoint, kPost, {}, false, &sink);
+    INFO(row.name << ": " << report.detail);
+    CHECK(report.end == row.end);
+    CHECK(report.head_received == row.head);
+    CHECK(server.requests == 1);
+  }
+}
+
+TEST_CASE(
+    "a request is sent once, even when the connection closes without an "
+    "answer") {
+  RawServer server("");
+  for (bool prove_unsent : {false, true}) {
+    server.requests = 0;
+    Collected sink;
+    Execute(server.endpoint, kPost, {}, prove_unsent, &sink);
+    CHECK(server.requests == 1);
+  }
+}
+
+TEST_CASE("a refused connection is proved unsent only when asked for") {
+  Collected sink;
+  Endpoint nobody{"127.0.0.1", 1};
+  CHECK(Execute(nobody, kPost, {}, true, &sink).end == CallEnd::kNotSent);
+  CHECK(Execute(nobody, kPost, {}, false, &sink).end == CallEnd::kBroken);
+}
+
+/// Echoes what it got; "/stream" in three pieces, "/abort" not at all.
+class EchoHandler : public Handler {
+ public:
+  void Handle(Exchange* exchange) override {
+    const Request& request = exchange->request();
+    if (exchange->body_too_large()) {
+      exchange->Reply(413, {}, "too large");
+    } else if (request.path == "/abort") {
+      exchange->Abort();
+    } else if (request.path == "/stream") {
+      exchange->BeginStream(200, {{"Content-Type", "text/plain"}});
+      for (const char* it : {"one ", "two ", "three"}) {
+        exchange->WriteStream(it);
+      }
+      exchange->EndStream();
+    } else {
+      std::string text = request.method + " " + request.path + "?" +
+                         request.query + " " +
+                         std::to_string(CountHeader(request.headers, "x-one")) +
+                         " " + request.body;
+      exchange->Reply(200, {}, text);
+    }
+  }
+};
+
+std::unique_ptr<Server> StartEcho(EchoHandler* handler) {
+  ServerSettings settings;
+  settings.endpoint = {"127.0.0.1", 0};
+  settings.max_body_bytes = 1000;
+  std::string why;
+  return Server::Start(settings, handler, &why);
+}
+
+TEST_CASE("the server hands on requests as they are and streams answers") {
+  EchoHandler handler;
+  auto server = StartEcho(&handler);
+  REQUIRE(server != nullptr);
+  struct Row {
+    Request request;
+    int status;
+    std::string body;
+  };
+  std::vector<Row> rows = {
+      {kPost, 200, "POST /x?a=1 1 body"},
+      {{"PUT", "/y", "", {{"X-One", "1"}, {"X-One", "2"}}, ""},
+       200,
+       "PUT /y? 2 "},
+      {{"DELETE", "/z", "q=%20", {}, ""}, 200, "DELETE /z?q=%20 0 "},
+      {{"POST", "/x", "", {}, std::string(1001, 'a')}, 413, "too large"},
+      {{"POST", "/x", "", {}, std::string(300000, 'a')}, 413, "too large"},
+      {{"POST", "/stream", "", {}, ""}, 200, "one two three"},
+  };
+  for (const Row& row : rows) {
+    BufferedResponse response =
+        ExecuteBuffered(server->endpoint(), row.request, {}, 1 << 20);
+    INFO(row.request.path);
+    CHECK(response.status == row.status);
+    CHECK(response.body == row.body);
+  }
+  Collected sink;
+  CHECK(Execute(server->endpoint(), {"GET", "/abort", "", {}, ""}, {}, false,
+                &sink)
+            .end == CallEnd::kBroken);
+}
+
+TEST_CASE("a sink that has enough cancels the call") {
+  EchoHandler handler;
+  auto server = StartEcho(&handler);
+  Collected sink;
+  sink.stop_at = 1;
+  CHECK(Execute(server->endpoint(), {"GET", "/stream", "", {}, ""}, {}, false,
+                &sink)
+            .end == CallEnd::kCancelled);
+}
+
+TEST_CASE("a bad request line or header gets an error and harms nobody") {
+  EchoHandler handler;
+  auto server = StartEcho(&handler);
+  std::vector<std::string> rows = {
+      "NONSENSE\r\n\r\n",
+      "GET / HTTP/1.1\r\nX-Big: " + std::string(10000, 'x') + "\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+  };
+  for (const std::string& row : rows) {
+    int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server->endpoint().port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)) == 0);
+    ::send(fd, row.data(), row.size(), MSG_NOSIGNAL);
+    ::shutdown(fd, SHUT_WR);
+    std::string answer;
+    char buf[512];
+    for (ssize_t n = 0; (n = ::recv(fd, buf, sizeof(buf), 0)) > 0;) {
+      answer.append(buf, static_cast<size_t>(n));
+    }
+    ::close(fd);
+    INFO(row.substr(0, 40) << " -> " << answer.substr(0, 60));
+    CHECK(answer.find("200 OK") == std::string::npos);
+    CHECK(ExecuteBuffered(server->endpoint(), kPost, {}, 1 << 20).Is(200));
+  }
+}
+
+TEST_CASE("endpoints parse strictly") {
+  Endpoint endpoint;
+  CHECK(ParseEndpoint("10.0.0.1:80", &endpoint));
+  for (const char* it :
+       {"", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:x", "1:99999"}) {
+    CHECK_FALSE(ParseEndpoint(it, &endpoint));
+  }
+}
+
+}  // namespace
+}  // namespace basilvalve::http
--- /dev/null
+++ b/Source/UnitTests/main.cc
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
