--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/node_test.cc
@@ -0,0 +1,299 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "UnitTests/Core/Gateway/test_fleet.h"
+
+namespace basilvalve::gateway {
+namespace {
+
+constexpr const char* kSettle = "/v1/services/payments/settle";
+const http::Headers kReports = {{"Basilvalve-Service", "reports"}};
+
+std::string HeaderOf(const http::BufferedResponse& response, const char* name) {
+  return std::string(http::FindHeader(response.headers, name));
+}
+
+std::string ExpectedStream(int tokens) {
+  std::string text;
+  nlohmann::json body =
+      nlohmann::json::parse(TestFleet::ModelBody(true, tokens));
+  uint64_t hash = Hash64(body["messages"].dump());
+  for (int i = 0; i < tokens; ++i) {
+    text += fakes::FakeEngine::Token(hash, i);
+  }
+  return text;
+}
+
+/// Text of all whole events of a stream.
+std::string StreamText(const std::string& body) {
+  std::string text;
+  size_t at = 0;
+  while ((at = body.find("data: {", at)) != std::string::npos) {
+    size_t end = body.find("\n\n", at);
+    nlohmann::json event = nlohmann::json::parse(
+        body.substr(at + 6, end - at - 6), nullptr, false);
+    if (event.is_object() && event.contains("choices")) {
+      text += event["choices"][0]["delta"].value("content", "");
+    }
+    at = end == std::string::npos ? body.size() : end;
+  }
+  return text;
+}
+
+TEST_CASE("a settlement runs once through every fault of its service") {
+  struct Row {
+    const char* name;
+    fakes::ServiceFault fault;
+    const char* first;
+    const char* second;
+    int runs;
+  };
+  std::vector<Row> rows = {
+      {"plain", fakes::ServiceFault::kNone, "done", "done", 1},
+      {"ran, answer lost", fakes::ServiceFault::kRunThenDrop, "unknown",
+       "unknown", 1},
+      {"dropped", fakes::ServiceFault::kDrop, "unknown", "unknown", 0},
+  };
+  for (const Row& row : rows) {
+    for (bool with_ticket : {true, false}) {
+      TestFleet fleet;
+      std::string body =
+          std::string(row.name) + (with_ticket ? " ticket" : " key");
+      http::Headers claim = {
+          with_ticket ? http::Header{"Basilvalve-Ticket", fleet.Ticket("m1")}
+                      : http::Header{"Idempotency-Key", body}};
+      INFO(body);
+      fleet.service.SetFault(row.fault);
+      CHECK(HeaderOf(fleet.Send("m1", "POST", kSettle, "", claim, body),
+                     "Basilvalve-Outcome") == row.first);
+      fleet.service.SetFault(fakes::ServiceFault::kNone);
+      // The repetition goes to another instance, which asks the first.
+      CHECK(HeaderOf(fleet.Send("m2", "POST", kSettle, "", claim, body),
+                     "Basilvalve-Outcome") == row.second);
+      CHECK(fleet.service.RunsOf(body) == row.runs);
+    }
+  }
+}
+
+TEST_CASE(
+    "many repetitions at once, from both regions, run a settlement once") {
+  TestFleet fleet;
+  std::string ticket = fleet.Ticket("m1");
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.emplace_back([&fleet, &ticket, i] {
+      const char* node = i % 3 == 0 ? "n1" : (i % 3 == 1 ? "m1" : "m2");
+      fleet.Send(node, "POST", kSettle, "", {{"Basilvalve-Ticket", ticket}},
+                 "tab 1");
+      fleet.Send(node, "POST", kSettle, "", {{"Idempotency-Key", "k"}},
+                 "tab 2");
+    });
+  }
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  CHECK(fleet.service.RunsOf("tab 1") == 1);
+  CHECK(fleet.service.RunsOf("tab 2") == 1);
+}
+
+TEST_CASE(
+    "after its instance is gone a ticket's fate is unknown and it never runs") {
+  TestFleet fleet;
+  std::string ticket = fleet.Ticket("m2");
+  fleet.StopNode("m2");
+  http::BufferedResponse response = fleet.Send(
+      "m1", "POST", kSettle, "", {{"Basilvalve-Ticket", ticket}}, "tab");
+  CHECK(HeaderOf(response, "Basilvalve-Outcome") == "unknown");
+  fleet.StartNode("m2", "munich");
+  fleet.AwaitDocument("payments", 1);
+  response = fleet.Send("m2", "POST", kSettle, "",
+                        {{"Basilvalve-Ticket", ticket}}, "tab");
+  CHECK(HeaderOf(response, "Basilvalve-Outcome") == "unknown");
+  CHECK(fleet.service.TotalRuns() == 0);
+}
+
+TEST_CASE(
+    "a broken stream is resumed at the exact token, or ends with an error "
+    "event") {
+  constexpr int kTokens = 12;
+  for (int cut : {0, 5, 11}) {
+    for (bool resumable : {true, false}) {
+      TestFleet fleet;
+      for (auto& [name, engine] : fleet.engines) {
+        fakes::EngineFaults faults;
+        faults.cut_after = cut;
+        faults.cut_count = 1;
+        faults.resumable = resumable;
+        engine->SetFaults(faults);
+      }
+      http::BufferedResponse response =
+          fleet.Send("m1", "POST", "/v1/chat/completions", "", kReports,
+                     TestFleet::ModelBody(true, kTokens));
+      INFO("cut after " << cut << (resumable ? ", resumable" : ""));
+      std::string whole = ExpectedStream(kTokens);
+      if (resumable) {
+        CHECK(StreamText(response.body) == whole);
+        CHECK(response.body.find("data: [DONE]") != std::string::npos);
+      } else {
+        CHECK(whole.starts_with(StreamText(response.body)));
+        CHECK(response.body.find("data: [DONE]") == std::string::npos);
+        CHECK(response.body.find("event: error") != std::string::npos);
+      }
+    }
+  }
+}
+
+TEST_CASE("an engine that fails or drains is left for another, once each") {
+  TestFleet fleet;
+  fakes::EngineFaults failing;
+  failing.failing = true;
+  fleet.engines["em1"]->SetFaults(failing);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(fleet
+              .Send("m1", "POST", "/v1/chat/completions", "", kReports,
+                    TestFleet::ModelBody(false, 2))
+              .Is(200));
+  }
+  fakes::EngineFaults draining;
+  draining.draining = true;
+  fleet.engines["em1"]->SetFaults(draining);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fleet
+              .Send(i % 2 == 0 ? "m1" : "m2", "POST", "/v1/chat/completions",
+                    "", kReports, TestFleet::ModelBody(false, 2))
+              .Is(200));
+  }
+}
+
+TEST_CASE(
+    "a forbidden region serves nothing, a call crosses only where it may") {
+  TestFleet fleet;
+  CHECK(HeaderOf(fleet.Send("n1", "GET", "/v1/services/payments/balance", "",
+                            {}, ""),
+                 "Basilvalve-Region") == "munich");
+  fleet.Apply("n1", PaymentsDocument(R"(["nuremberg"])"), 1, "payments-2");
+  fleet.AwaitDocument("payments", 2);
+  http::BufferedResponse refused =
+      fleet.Send("n1", "GET", "/v1/services/payments/balance", "", {}, "");
+  CHECK(HeaderOf(refused, "Basilvalve-Code") == "2007");
+  refused =
+      fleet.Send("m1", "GET", "/v1/services/payments/balance", "", {}, "");
+  CHECK(HeaderOf(refused, "Basilvalve-Code") == "2002");
+}
+
+TEST_CASE(
+    "without the store everything but accepting documents and keys goes on") {
+  TestFleet fleet;
+  fleet.store.SetDown(true);
+  CHECK(fleet
+            .Send("m1", "POST", "/v1/chat/completions", "", kReports,
+                  TestFleet::ModelBody(false, 2))
+            .Is(200));
+  CHECK(fleet
+            .Send("m1", "POST", kSettle, "",
+                  {{"Basilvalve-Ticket", fleet.Ticket("m1")}}, "a")
+            .Is(200));
+  CHECK(HeaderOf(fleet.Send("m1", "POST", kSettle, "",
+                            {{"Idempotency-Key", "k"}}, "b"),
+                 "Basilvalve-Code") == "2008");
+  CHECK(fleet.Apply("m1", PaymentsDocument(R"(["munich"])"), 1, "x").status ==
+        503);
+  // An instance that restarts now gets its documents from the others.
+  fleet.StopNode("m2");
+  fleet.StartNode("m2", "munich");
+  fleet.AwaitDocument("payments", 1);
+  fleet.AwaitDocument("reports", 1);
+  CHECK(fleet.Admin("m2", "GET", "/readyz", "", "").Is(200));
+  fleet.store.SetDown(false);
+  TestFleet::Await([&] {
+    return fleet
+        .Send("m1", "POST", kSettle, "", {{"Idempotency-Key", "k"}}, "b")
+        .Is(200);
+  });
+  CHECK(fleet.service.RunsOf("b") == 1);
+}
+
+TEST_CASE(
+    "a store restored from an older copy gets the documents in force back") {
+  TestFleet fleet;
+  fleet.store.Save();
+  fleet.Apply("m1", ReportsDocument(R"(["munich"])"), 1, "reports-2");
+  fleet.AwaitDocument("reports", 2);
+  fleet.store.Restore();
+  TestFleet::Await([&] {
+    Result<std::optional<platform::StoreEntry>> entry =
+        fleet.store.Get(document::CurrentKey(ServiceName("reports")));
+    return document::ParseRecord((*entry)->value)->version.value() == 2;
+  });
+  fleet.AwaitDocument("reports", 2);
+}
+
+TEST_CASE(
+    "a graceful stop finishes every stream in flight and names other entries") {
+  TestFleet fleet;
+  constexpr int kStreams = 20;
+  constexpr int kTokens = 400;
+  std::atomic<int> whole{0};
+  std::vector<std::thread> callers;
+  callers.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
+    callers.emplace_back([&] {
+      http::BufferedResponse response =
+          fleet.Send("m1", "POST", "/v1/chat/completions", "", kReports,
+                     TestFleet::ModelBody(true, kTokens));
+      whole += StreamText(response.body) == ExpectedStream(kTokens) ? 1 : 0;
+    });
+  }
+  TestFleet::Await([&] {
+    return fleet.engines["em1"]->started() + fleet.engines["em2"]->started() >=
+           kStreams;
+  });
+  fleet.store.SetDown(true);
+  fleet.nodes["m1"]->BeginDrain();
+  http::BufferedResponse refused =
+      fleet.Send("m1", "POST", "/v1/chat/completions", "", kReports,
+                 TestFleet::ModelBody(false, 2));
+  CHECK(HeaderOf(refused, "Basilvalve-Code") == "2006");
+  CHECK(HeaderOf(refused, "Basilvalve-Outcome") == "not-run");
+  CHECK(refused.body.find("\"m2\"") != std::string::npos);
+  CHECK(fleet.nodes["m1"]->AwaitDrained());
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  CHECK(whole == kStreams);
+  for (const http::Endpoint& it :
+       fleet.directory.EntriesOf(RegionId("munich"))) {
+    CHECK_FALSE(it == fleet.nodes["m1"]->caller_endpoint());
+  }
+}
+
+TEST_CASE("a caller that goes away cancels its stream at the engine") {
+  TestFleet fleet;
+  /// Reads one piece and closes the connection.
+  class OnePiece : public http::ResponseSink {
+   public:
+    bool OnHead(const http::ResponseHead& /*head*/) override { return true; }
+    bool OnBody(std::string_view /*piece*/) override { return false; }
+  };
+  OnePiece sink;
+  http::Request request{"POST", "/v1/chat/completions", "", kReports,
+                        TestFleet::ModelBody(true, 100000)};
+  request.headers.push_back(
+      {"Authorization", std::string("Bearer ") + kTestKey});
+  http::Execute(fleet.nodes["m1"]->caller_endpoint(), request, {}, false,
+                &sink);
+  TestFleet::Await([&] {
+    return fleet.engines["em1"]->cancelled() +
+               fleet.engines["em2"]->cancelled() >
+           0;
+  });
+  TestFleet::Await([&] {
+    http::BufferedResponse status =
+        fleet.Admin("m1", "GET", "/v1/status", "", "");
+    return nlohmann::json::parse(status.body)["in_flight"] == 0;
+  });
+}
+
+}  // namespace
+}  // namespace basilvalve::gateway
--- /dev/null
+++ b/Source/UnitTests/Core/Peer/peer_test.cc
@@ -0,0 +1,310 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "Core/Peer/peer_client.h"
+#include "Core/Peer/peer_server.h"
+#include "Fakes/relay.h"
+
+namespace basilvalve::peer {
+namespace {
+
+constexpr size_t kBigAnswer = 8 << 20;
+constexpr size_t kPieceBytes = 16384;
+
+/// Answers by the path of the header.
+class TestHandler : public StreamHandler {
+ public:
+  void HandleStream(ServerStream* stream) override {
+    const std::string& path = stream->header().path;
+    if (path == "/refuse") {
+      stream->Refuse(MakeError(ResultCode::kResidencyForbidden, "no"));
+      return;
+    }
+    if (path == "/hang-before") {
+      ++entered;
+      while (!stream->Cancelled()) {
+        std::this_thread::yield();
+      }
+      ++cancelled;
+      return;
+    }
+    Result<std::string> body =
+        stream->AcceptBody(SteadyClock().Now() + Seconds(5));
+    if (!body) {
+      ++bodies_refused;
+      stream->FinishWithError(body.error());
+      return;
+    }
+    ++runs;
+    if (path == "/vanish") {
+      return;
+    }
+    if (path == "/error") {
+      stream->FinishWithError(
+          {ResultCode::kUpstreamFailed, Outcome::kUnknown, "broke"});
+      return;
+    }
+    stream->SendHead({200, "text/plain", RegionId("munich"), UpstreamId("u1")});
+    if (path == "/cut") {
+      stream->Write("half");
+      return;
+    }
+    if (path == "/big") {
+      std::string piece(kPieceBytes, 'x');
+      for (size_t sent = 0; sent < kBigAnswer; sent += piece.size()) {
+        if (!stream->Write(piece)) {
+          ++cancelled;
+          return;
+        }
+      }
+    }
+    if (path == "/late-error") {
+      stream->Write("half");
+      stream->Finish(Outcome::kUnknown, ResultCode::kAnswerTruncated,
+                     "broke later");
+      return;
+    }
+    stream->Write("echo " + *body);
+    stream->Finish(Outcome::kDone, ResultCode::kOk, "");
+  }
+
+  std::atomic<int> runs{0};
+  std::atomic<int> entered{0};
+  std::atomic<int> cancelled{0};
+  std::atomic<int> bodies_refused{0};
+};
+
+struct Bed {
+  explicit Bed(const std::string& client_key = "peer-test-key-0001") {
+    client_keys = *Keyring::FromSetting(client_key);
+    PeerServerSettings server_settings;
+    server_settings.endpoint = {"127.0.0.1", 0};
+    server_settings.workers = 8;
+    server = std::move(
+        *PeerServer::Start(server_settings, &reactor, &server_keys, &handler));
+  }
+  ~Bed() {
+    client_reactor.Stop();
+    reactor.Stop();
+    server.reset();
+  }
+
+  StreamHeader Header(const std::string& path, const std::string& body) {
+    StreamHeader header;
+    header.sender = InstanceId("n1");
+    header.incarnation = Incarnation(1);
+    header.sequence = Sequence(++sequence);
+    header.request = RequestId("q" + std::to_string(sequence));
+    header.attempt = 1;
+    header.path = path;
+    header.body_bytes = body.size();
+    header.body_hash = Hash64(body);
+    return header;
+  }
+
+  static Instant Soon() { return SteadyClock().Now() + Seconds(10); }
+
+  SteadyClock clock;
+  Keyring server_keys = *Keyring::FromSetting("peer-test-key-0001");
+  Keyring client_keys = server_keys;
+  TestHandler handler;
+  Reactor reactor{{}, 2, &clock};
+  Reactor client_reactor{{}, 2, &clock};
+  PeerClient client{&client_reactor, &client_keys};
+  std::unique_ptr<PeerServer> server;
+  uint64_t sequence = 0;
+};
+
+/// Sends a body and reads the whole answer.
+Result<std::string> Exchange(Bed* bed, const http::Endpoint& endpoint,
+                             const StreamHeader& header,
+                             const std::string& body) {
+  auto stream = bed->client.Open(endpoint, header);
+  if (!stream) {
+    return tl::make_unexpected(stream.error());
+  }
+  Result<void> accepted = (*stream)->AwaitGoAhead(Bed::Soon());
+  if (!accepted) {
+    return tl::make_unexpected(accepted.error());
+  }
+  (*stream)->SendBody(body);
+  Result<AnswerHead> head = (*stream)->AwaitHead(Bed::Soon());
+  if (!head) {
+    return tl::make_unexpected(head.error());
+  }
+  std::string answer;
+  while (true) {
+    Result<std::optional<std::string>> piece = (*stream)->Read(Millis(10000));
+    if (!piece) {
+      return tl::make_unexpected(piece.error());
+    }
+    if (!piece->has_value()) {
+      return answer;
+    }
+    answer += **piece;
+  }
+}
+
+TEST_CASE("a stream's outcome tells what may have happened on the other side") {
+  struct Row {
+    const char* path;
+    ResultCode code;
+    Outcome outcome;
+    int runs;
+  };
+  std::vector<Row> rows = {
+      {"/echo", ResultCode::kOk, Outcome::kDone, 1},
+      {"/refuse", ResultCode::kResidencyForbidden, Outcome::kNotRun, 0},
+      {"/vanish", ResultCode::kPeerLost, Outcome::kUnknown, 1},
+      {"/error", ResultCode::kUpstreamFailed, Outcome::kUnknown, 1},
+      {"/cut", ResultCode::kPeerLost, Outcome::kUnknown, 1},
+      {"/late-error", ResultCode::kAnswerTruncated, Outcome::kUnknown, 1},
+  };
+  for (const Row& row : rows) {
+    Bed bed;
+    Result<std::string> answer = Exchange(&bed, bed.server->endpoint(),
+                                          bed.Header(row.path, "body"), "body");
+    INFO(row.path);
+    if (row.code == ResultCode::kOk) {
+      REQUIRE(answer.has_value());
+      CHECK(*answer == "echo body");
+    } else {
+      REQUIRE_FALSE(answer.has_value());
+      CHECK(answer.error().code == row.code);
+      CHECK(answer.error().outcome == row.outcome);
+    }
+    CHECK(bed.handler.runs == row.runs);
+  }
+}
+
+TEST_CASE(
+    "a header under a wrong key or sent twice never reaches the handler") {
+  Bed wrong("peer-test-key-0002");
+  Result<std::string> answer = Exchange(&wrong, wrong.server->endpoint(),
+                                        wrong.Header("/echo", "b"), "b");
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().outcome == Outcome::kNotRun);
+  CHECK(wrong.handler.runs == 0);
+
+  Bed bed;
+  StreamHeader header = bed.Header("/echo", "b");
+  CHECK(Exchange(&bed, bed.server->endpoint(), header, "b").has_value());
+  Result<std::string> repeated =
+      Exchange(&bed, bed.server->endpoint(), header, "b");
+  REQUIRE_FALSE(repeated.has_value());
+  CHECK(repeated.error().code == ResultCode::kPeerRefused);
+  CHECK(bed.handler.runs == 1);
+}
+
+TEST_CASE("a body that differs from its header is not run") {
+  Bed bed;
+  Result<std::string> answer = Exchange(&bed, bed.server->endpoint(),
+                                        bed.Header("/echo", "body"), "bodx");
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().outcome == Outcome::kNotRun);
+  CHECK(bed.handler.runs == 0);
+  CHECK(bed.handler.bodies_refused == 1);
+}
+
+TEST_CASE("nobody listening is surely not run") {
+  Bed bed;
+  Result<std::string> answer =
+      Exchange(&bed, {"127.0.0.1", 1}, bed.Header("/echo", "b"), "b");
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().outcome == Outcome::kNotRun);
+}
+
+TEST_CASE("a stream given up by the client is cancelled at the server") {
+  Bed bed;
+  auto stream =
+      bed.client.Open(bed.server->endpoint(), bed.Header("/hang-before", "b"));
+  while (bed.handler.entered == 0) {
+    std::this_thread::yield();
+  }
+  stream->reset();
+  while (bed.handler.cancelled == 0) {
+    std::this_thread::yield();
+  }
+  CHECK(bed.handler.runs == 0);
+}
+
+TEST_CASE("a reader that stops holds up only its own stream") {
+  Bed bed;
+  auto slow = bed.client.Open(bed.server->endpoint(), bed.Header("/big", "b"));
+  REQUIRE((*slow)->AwaitGoAhead(Bed::Soon()).has_value());
+  (*slow)->SendBody("b");
+  REQUIRE((*slow)->AwaitHead(Bed::Soon()).has_value());
+  // The big answer fills its window and waits; others pass on the same
+  // connection.
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Exchange(&bed, bed.server->endpoint(), bed.Header("/echo", "b"), "b")
+              .has_value());
+  }
+  size_t got = 0;
+  while (true) {
+    Result<std::optional<std::string>> piece = (*slow)->Read(Millis(10000));
+    REQUIRE(piece.has_value());
+    if (!piece->has_value()) {
+      break;
+    }
+    got += (*piece)->size();
+  }
+  CHECK(got == kBigAnswer + std::string("echo b").size());
+}
+
+TEST_CASE("an answer cut after any number of bytes is never whole") {
+  for (int64_t cut : {1, 9, 40, 90, 150, 200}) {
+    Bed bed;
+    auto relay = fakes::Relay::Start("127.0.0.1", bed.server->endpoint());
+    relay->CutAfter(cut);
+    Result<std::string> answer =
+        Exchange(&bed, relay->endpoint(), bed.Header("/echo", "body"), "body");
+    INFO("cut after " << cut);
+    REQUIRE_FALSE(answer.has_value());
+    bool ran = bed.handler.runs > 0;
+    // Told not-run only if it was not run.
+    CHECK((answer.error().outcome == Outcome::kUnknown || !ran));
+  }
+}
+
+TEST_CASE("a frozen link is noticed by heartbeats") {
+  Bed bed;
+  auto relay = fakes::Relay::Start("127.0.0.1", bed.server->endpoint());
+  auto stream =
+      bed.client.Open(relay->endpoint(), bed.Header("/hang-before", "b"));
+  relay->SetFrozen(true);
+  Result<void> accepted =
+      (*stream)->AwaitGoAhead(SteadyClock().Now() + Seconds(60));
+  REQUIRE_FALSE(accepted.has_value());
+  CHECK(accepted.error().code == ResultCode::kPeerLost);
+}
+
+TEST_CASE("messages survive their text form") {
+  Keyring keyring = *Keyring::FromSetting("peer-test-key-0001");
+  StreamHeader header;
+  header.sender = InstanceId("n1");
+  header.hops = {InstanceId("a"), InstanceId("b")};
+  header.regions = {RegionId("r")};
+  header.ticket = "t";
+  header.remaining = Millis(5);
+  header.streaming = true;
+  SignedText text = EncodeHeader(header, keyring);
+  Result<StreamHeader> decoded = DecodeHeader(text, keyring);
+  REQUIRE(decoded.has_value());
+  CHECK(EncodeHeader(*decoded, keyring).text == text.text);
+  CHECK_FALSE(DecodeHeader({text.text + "A", text.mac}, keyring).has_value());
+  EndRecord end{RequestId("q"),  2,  10, 99, Outcome::kDone,
+                ResultCode::kOk, "m"};
+  SignedText end_text = EncodeEnd(end, keyring);
+  CHECK(DecodeEnd(end_text, keyring)->hash == 99);
+  // A header's MAC is no good for an end record.
+  CHECK_FALSE(DecodeEnd(text, keyring).has_value());
+  CHECK_FALSE(DecodeAnswerHead("%%%").has_value());
+  CHECK(DecodeAnswerHead(
+            EncodeAnswerHead({201, "t", RegionId("r"), UpstreamId("u")}))
+            ->status == 201);
+}
+
+}  // namespace
+}  // namespace basilvalve::peer
