--- /dev/null
+++ b/Source/BasilvalveBench/stream_load.cc
@@ -0,0 +1,169 @@
+#include "BasilvalveBench/stream_load.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+#include "Core/Common/clock.h"
+#include "Core/Http/http_client.h"
+
+namespace basilvalve::bench {
+namespace {
+
+/// Times of one side.
+struct Samples {
+  std::mutex mutex;
+  std::vector<double> first_ms;
+  std::vector<double> gap_ms;
+  int64_t cut = 0;
+};
+
+double Percentile(std::vector<double>* values, double part) {
+  if (values->empty()) {
+    return 0;
+  }
+  std::sort(values->begin(), values->end());
+  return (*values)[static_cast<size_t>(
+      part * static_cast<double>(values->size() - 1))];
+}
+
+double ToMs(Micros time) { return static_cast<double>(time.count()) / 1000; }
+
+class TimingSink : public http::ResponseSink {
+ public:
+  explicit TimingSink(Instant begin) : begin_(begin) {}
+
+  bool OnHead(const http::ResponseHead& head) override {
+    return head.status == 200;
+  }
+
+  bool OnBody(std::string_view piece) override {
+    Instant now = clock_.Now();
+    if (last_ == Instant()) {
+      first_ms = ToMs(now - begin_);
+    } else {
+      gaps_ms.push_back(ToMs(now - last_));
+    }
+    last_ = now;
+    tail_.append(piece);
+    done = tail_.find("data: [DONE]") != std::string::npos;
+    constexpr size_t kTail = 32;
+    if (tail_.size() > kTail) {
+      tail_.erase(0, tail_.size() - kTail);
+    }
+    return !done;
+  }
+
+  bool done = false;
+  double first_ms = 0;
+  std::vector<double> gaps_ms;
+
+ private:
+  SteadyClock clock_;
+  Instant begin_;
+  Instant last_;
+  std::string tail_;
+};
+
+http::Request BuildRequest(const StreamLoad& load, bool stream,
+                           int64_t number) {
+  nlohmann::json body = {
+      {"model", load.model},
+      {"stream", stream},
+      {"max_tokens", load.tokens},
+      {"messages", nlohmann::json::array(
+                       {{{"role", "user"},
+                         {"content", "Report " + std::to_string(number)}}})}};
+  http::Request request{"POST", "/v1/chat/completions", "", {}, body.dump()};
+  request.headers = {{"Authorization", "Bearer " + load.key},
+                     {"Basilvalve-Service", load.service}};
+  return request;
+}
+
+void OneStream(const StreamLoad& load, const http::Endpoint& endpoint,
+               int64_t number, Samples* samples) {
+  SteadyClock clock;
+  TimingSink sink(clock.Now());
+  http::Execute(endpoint, BuildRequest(load, true, number), {}, false, &sink);
+  std::lock_guard lock(samples->mutex);
+  samples->cut += sink.done ? 0 : 1;
+  samples->first_ms.push_back(sink.first_ms);
+  samples->gap_ms.insert(samples->gap_ms.end(), sink.gaps_ms.begin(),
+                         sink.gaps_ms.end());
+}
+
+void RunSide(const StreamLoad& load, const http::Endpoint& endpoint,
+             Samples* samples) {
+  std::vector<std::thread> threads;
+  for (int64_t i = 0; i < load.concurrent; ++i) {
+    threads.emplace_back([&, i] {
+      for (int64_t round = 0; round < load.rounds; ++round) {
+        OneStream(load, endpoint, i * load.rounds + round, samples);
+      }
+    });
+    // Spread over a token's time, so that all streams do not tick together.
+    std::this_thread::sleep_for(std::chrono::microseconds(500));
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+}
+
+void PrintSide(const char* side, const StreamLoad& load, Samples* samples) {
+  std::printf(
+      "%s,%lld,%zu,%.2f,%.2f,%.2f,%.2f,%lld\n", side,
+      static_cast<long long>(load.concurrent),  // NOLINT(google-runtime-int)
+      samples->first_ms.size(), Percentile(&samples->first_ms, 0.5),
+      Percentile(&samples->first_ms, 0.99), Percentile(&samples->gap_ms, 0.5),
+      Percentile(&samples->gap_ms, 0.99),
+      static_cast<long long>(samples->cut));  // NOLINT(google-runtime-int)
+}
+
+}  // namespace
+
+int RunStreamLoad(const StreamLoad& load) {
+  Samples direct;
+  Samples gateway;
+  RunSide(load, load.direct, &direct);
+  RunSide(load, load.gateway, &gateway);
+  std::printf(
+      "side,concurrent,streams,first_p50_ms,first_p99_ms,gap_p50_ms,gap_p99_ms,"
+      "cut\n");
+  PrintSide("direct", load, &direct);
+  PrintSide("gateway", load, &gateway);
+  return gateway.cut == 0 ? 0 : 1;
+}
+
+int RunRequestLoad(const StreamLoad& load) {
+  SteadyClock clock;
+  std::atomic<int64_t> failed{0};
+  Instant begin = clock.Now();
+  std::vector<std::thread> threads;
+  for (int64_t i = 0; i < load.concurrent; ++i) {
+    threads.emplace_back([&, i] {
+      for (int64_t round = 0; round < load.rounds; ++round) {
+        http::Request request =
+            BuildRequest(load, false, i * load.rounds + round);
+        bool ok =
+            http::ExecuteBuffered(load.gateway, request, {}, 1 << 20).Is(200);
+        failed += ok ? 0 : 1;
+      }
+    });
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  double seconds = ToMs(clock.Now() - begin) / 1000;
+  std::printf(
+      "requests,seconds,per_second,failed\n%lld,%.2f,%.0f,%lld\n",
+      static_cast<long long>(load.concurrent * load.rounds),  // NOLINT
+      seconds, static_cast<double>(load.concurrent * load.rounds) / seconds,
+      static_cast<long long>(failed.load()));  // NOLINT(google-runtime-int)
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace basilvalve::bench
--- a/Source/Core/Gateway/upstream_caller.cc
+++ b/Source/Core/Gateway/upstream_caller.cc
@@ -93,6 +93,11 @@
     return check_->events();
   }
 
+  /// Prompt tokens that the upstream still had to work off.
+  double PendingTokens() const {
+    return last_token_ == Instant() ? plan_.uncached_tokens : 0;
+  }
+
   bool gone() const { return gone_; }
   bool draining() const { return draining_; }
   bool failed() const { return failed_; }
@@ -109,7 +114,8 @@
     if (last_token_ == Instant()) {
       Micros observed = now - started_;
       Micros target = call_->record->document.targets.first_token;
-      parts_->upstreams->OnFirstToken(plan_.handle, plan_.predicted, observed,
+      parts_->upstreams->OnFirstToken(plan_.handle, plan_.uncached_tokens,
+                                      plan_.predicted, observed,
                                       now - call_->arrived <= target, now);
       parts_->metrics->ObserveFirstToken(now - call_->arrived);
     } else {
@@ -193,13 +199,13 @@
                    target->id.value());
 
   if (state.Whole(report)) {
-    parts_->upstreams->End(plan.handle, routing::CallVerdict::kGood,
-                           now - begin, now);
+    parts_->upstreams->End(plan.handle, state.PendingTokens(),
+                           routing::CallVerdict::kGood, now - begin, now);
     return {Outcome::kDone, ResultCode::kOk, "", true, Millis(0)};
   }
   if (state.gone()) {
-    parts_->upstreams->End(plan.handle, routing::CallVerdict::kNeutral,
-                           now - begin, now);
+    parts_->upstreams->End(plan.handle, state.PendingTokens(),
+                           routing::CallVerdict::kNeutral, now - begin, now);
     if (call.is_model) {
       Cancel(call, target->endpoint, engine_id);
     }
@@ -207,16 +213,16 @@
             state.begun(), Millis(0)};
   }
   if (state.draining()) {
-    parts_->upstreams->End(plan.handle, routing::CallVerdict::kDraining,
-                           now - begin, now);
+    parts_->upstreams->End(plan.handle, state.PendingTokens(),
+                           routing::CallVerdict::kDraining, now - begin, now);
     if (parts_->upstreams->MarkLeaving(target->id, now, kLeavingHold)) {
       parts_->cluster->NoticeLeaving(target->id);
     }
     return EndOf(
         MakeError(ResultCode::kNoUpstream, "the upstream is draining"));
   }
-  parts_->upstreams->End(plan.handle, routing::CallVerdict::kFailed,
-                         now - begin, now);
+  parts_->upstreams->End(plan.handle, state.PendingTokens(),
+                         routing::CallVerdict::kFailed, now - begin, now);
   if (report.end == http::CallEnd::kNotSent) {
     return EndOf(
         FailAs(ResultCode::kUpstreamFailed, Outcome::kNotRun, report.detail)
--- a/Source/Core/Routing/away_controller.cc
+++ b/Source/Core/Routing/away_controller.cc
@@ -11,14 +11,14 @@
 
 }  // namespace
 
-double AwayController::ShareOf(const Flow& flow, Instant returned,
-                               Instant now) const {
+double AwayController::ShareOf(const Flow& flow, bool hopeless,
+                               Instant returned, Instant now) const {
   auto ramp = [&](Instant from, Millis length) {
     double part = static_cast<double>((now - from).count()) /
                   static_cast<double>(Micros(length).count());
     return std::clamp(settings_.initial_share + part, 0.0, 1.0);
   };
-  double share = ramp(flow.since, settings_.ramp);
+  double share = hopeless ? 1 : ramp(flow.since, settings_.ramp);
   if (returned != Instant()) {
     share = std::min(share, ramp(returned, settings_.cold_ramp));
   }
@@ -35,8 +35,8 @@
 }
 
 bool AwayController::Allows(const RegionId& region, Micros local, Micros remote,
-                            Micros target, Instant returned, Instant now,
-                            Random* random) {
+                            Micros target, bool hopeless, Instant returned,
+                            Instant now, Random* random) {
   OnLocal(local, target);
   Flow& flow = flows_[region];
   bool better = remote < Part(local, settings_.advantage);
@@ -46,7 +46,7 @@
   if (!flow.on || !better) {
     return false;
   }
-  return random->Unit() < ShareOf(flow, returned, now);
+  return random->Unit() < ShareOf(flow, hopeless, returned, now);
 }
 
 }  // namespace basilvalve::routing
--- a/Source/Core/Routing/away_controller.h
+++ b/Source/Core/Routing/away_controller.h
@@ -34,9 +34,11 @@
 
   /// Whether a request may go to `region`, given the predictions for both
   /// sides, the contract and the time the region returned from a partition
-  /// (zero if never).
+  /// (zero if never). One that would be refused here (`hopeless`) does not wait
+  /// for the share to grow.
   bool Allows(const RegionId& region, Micros local, Micros remote,
-              Micros target, Instant returned, Instant now, Random* random);
+              Micros target, bool hopeless, Instant returned, Instant now,
+              Random* random);
   /// Tells what the local prediction is when no other region was looked at.
   void OnLocal(Micros local, Micros target);
 
@@ -46,7 +48,8 @@
     Instant since;
   };
 
-  double ShareOf(const Flow& flow, Instant returned, Instant now) const;
+  double ShareOf(const Flow& flow, bool hopeless, Instant returned,
+                 Instant now) const;
 
   AwaySettings settings_;
   std::map<RegionId, Flow> flows_;
--- a/Source/Core/Routing/candidate.h
+++ b/Source/Core/Routing/candidate.h
@@ -30,8 +30,10 @@
   /// taken.
   double own_calls = 0;
   double own_tokens = 0;
-  /// Calls of this instance in flight.
+  /// Calls of this instance in flight, and uncached prompt tokens of those
+  /// whose first token has not come.
   int64_t own_in_flight = 0;
+  double own_pending_tokens = 0;
   /// Observed over predicted time to first token; 1 for an upstream that is as
   /// fast as its reports say.
   double slowness = 1;
--- a/Source/Core/Routing/router.cc
+++ b/Source/Core/Routing/router.cc
@@ -38,6 +38,11 @@
       away_(settings.away),
       link_(settings.link) {}
 
+Micros Router::AllowedTime(const RouteInput& input) const {
+  return Micros(static_cast<int64_t>(
+      static_cast<double>(input.remaining.count()) * settings_.deadline_part));
+}
+
 std::optional<size_t> Router::ChooseRemote(const RouteInput& input,
                                            Micros local,
                                            RouteDecision* decision) {
@@ -56,9 +61,10 @@
   }
   const RemoteOption& option = input.remote[*best];
   decision->predicted_remote = cost(option);
-  bool allowed =
-      away_.Allows(option.region, local, decision->predicted_remote,
-                   input.target, option.returned, input.now, &random_);
+  bool hopeless = local > AllowedTime(input);
+  bool allowed = away_.Allows(option.region, local, decision->predicted_remote,
+                              input.target, hopeless, option.returned,
+                              input.now, &random_);
   if (!allowed || !link_.TryTake(option.region, input.body_bytes, input.now)) {
     return std::nullopt;
   }
@@ -88,8 +94,7 @@
     decision.retry_after = kMinRetryAfter;
     return decision;
   }
-  auto allowed = Micros(static_cast<int64_t>(
-      static_cast<double>(input.remaining.count()) * settings_.deadline_part));
+  Micros allowed = AllowedTime(input);
   if (choice->predicted > allowed) {
     decision.refusal = ResultCode::kDeadlineTooShort;
     decision.retry_after = RetryAfter(choice->predicted, allowed);
--- a/Source/Core/Routing/router.h
+++ b/Source/Core/Routing/router.h
@@ -81,6 +81,7 @@
   RouteDecision Route(const RouteInput& input);
 
  private:
+  Micros AllowedTime(const RouteInput& input) const;
   std::optional<size_t> ChooseRemote(const RouteInput& input, Micros local,
                                      RouteDecision* decision);
 
--- a/Source/Core/Routing/upstream_table.cc
+++ b/Source/Core/Routing/upstream_table.cc
@@ -9,6 +9,11 @@
 // Weight of a new observation in the moving averages.
 constexpr double kSmoothing = 0.2;
 constexpr double kSlownessKeptByReport = 0.98;
+// Bound on the calls remembered since a report, for an upstream that stopped
+// reporting.
+constexpr size_t kMaxSent = 256;
+// Stands for the age of a report that never came: nothing of it is believed.
+constexpr Micros kNoReportAge = Seconds(3600);
 constexpr double kMinSlowness = 0.5;
 constexpr double kMaxSlowness = 50;
 // Below this prediction the ratio says more about noise than about the
@@ -49,14 +54,8 @@
     present.insert(handle);
     Shard& shard = ShardOf(handle);
     std::lock_guard lock(shard.mutex);
-    auto [slot, added] = shard.entries.try_emplace(
-        handle, Entry{it,
-                      {},
-                      {},
-                      true,
-                      {},
-                      admission::Breaker(breaker_),
-                      admission::ConcurrencyLimit(concurrency_)});
+    auto [slot, added] =
+        shard.entries.try_emplace(handle, breaker_, concurrency_);
     slot->second.listed = it;
     slot->second.listed_now = true;
   }
@@ -79,8 +78,9 @@
   Entry& entry = shard.entries.at(*handle);
   entry.report = report;
   entry.report_taken = now - report.lag;
-  entry.own_calls = 0;
-  entry.own_tokens = 0;
+  while (!entry.sent.empty() && entry.sent.front().at <= entry.report_taken) {
+    entry.sent.pop_front();
+  }
   // An upstream that is avoided is not observed any more; without this it would
   // never be tried again.
   entry.slowness = 1 + (entry.slowness - 1) * kSlownessKeptByReport;
@@ -131,9 +131,12 @@
   candidate.prefill_rate = std::max(1.0, entry.report.prefill_rate);
   candidate.mean_service = entry.mean_service;
   candidate.age =
-      entry.report_taken == Instant() ? Micros(0) : now - entry.report_taken;
-  candidate.own_calls = entry.own_calls;
-  candidate.own_tokens = entry.own_tokens;
+      entry.report_taken == Instant() ? kNoReportAge : now - entry.report_taken;
+  candidate.own_calls = static_cast<double>(entry.sent.size());
+  for (const Sent& it : entry.sent) {
+    candidate.own_tokens += it.tokens;
+  }
+  candidate.own_pending_tokens = entry.pending_tokens;
   candidate.own_in_flight = entry.in_flight;
   candidate.slowness = entry.slowness;
   return candidate;
@@ -183,18 +186,22 @@
   Entry& entry = it->second;
   entry.breaker.OnStart(now);
   entry.in_flight += 1;
-  entry.own_calls += 1;
-  entry.own_tokens += uncached_tokens;
+  entry.pending_tokens += uncached_tokens;
+  if (entry.sent.size() >= kMaxSent) {
+    entry.sent.pop_front();
+  }
+  entry.sent.push_back({now, uncached_tokens});
   return UpstreamTarget{handle, UpstreamId(entry.listed.id),
                         entry.listed.endpoint};
 }
 
-void UpstreamTable::OnFirstToken(uint32_t handle, Micros predicted,
-                                 Micros observed, bool met_target,
-                                 Instant now) {
+void UpstreamTable::OnFirstToken(uint32_t handle, double uncached_tokens,
+                                 Micros predicted, Micros observed,
+                                 bool met_target, Instant now) {
   Shard& shard = ShardOf(handle);
   std::lock_guard lock(shard.mutex);
   Entry& entry = shard.entries.at(handle);
+  entry.pending_tokens = std::max(0.0, entry.pending_tokens - uncached_tokens);
   // The prediction contains the slowness already known, which is taken out
   // again.
   double plain =
@@ -207,12 +214,13 @@
   entry.limit.OnResult(met_target, entry.in_flight, now);
 }
 
-void UpstreamTable::End(uint32_t handle, CallVerdict verdict, Micros duration,
-                        Instant now) {
+void UpstreamTable::End(uint32_t handle, double pending_tokens,
+                        CallVerdict verdict, Micros duration, Instant now) {
   Shard& shard = ShardOf(handle);
   std::lock_guard lock(shard.mutex);
   Entry& entry = shard.entries.at(handle);
   entry.in_flight -= 1;
+  entry.pending_tokens = std::max(0.0, entry.pending_tokens - pending_tokens);
   switch (verdict) {
     case CallVerdict::kGood: {
       entry.breaker.OnSuccess();
--- a/Source/Core/Routing/upstream_table.h
+++ b/Source/Core/Routing/upstream_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -84,12 +85,15 @@
   /// Thread safe.
   std::optional<UpstreamTarget> Start(uint32_t handle, double uncached_tokens,
                                       Instant now);
-  /// Tells when the first token came and what had been predicted. Thread safe.
-  void OnFirstToken(uint32_t handle, Micros predicted, Micros observed,
-                    bool met_target, Instant now);
-  /// Ends a call that Start began. Thread safe. Pre: Start succeeded for the
+  /// Tells when the first token came and what had been predicted;
+  /// `uncached_tokens` as given to Start. Thread safe.
+  void OnFirstToken(uint32_t handle, double uncached_tokens, Micros predicted,
+                    Micros observed, bool met_target, Instant now);
+  /// Ends a call that Start began; `pending_tokens` as given to Start if no
+  /// first token was told, else 0. Thread safe. Pre: Start succeeded for the
   /// call.
-  void End(uint32_t handle, CallVerdict verdict, Micros duration, Instant now);
+  void End(uint32_t handle, double pending_tokens, CallVerdict verdict,
+           Micros duration, Instant now);
   /// All upstreams. Thread safe.
   std::vector<platform::ListedInstance> Listed() const;
   /// Handle of an upstream. Thread safe.
@@ -98,7 +102,16 @@
   std::vector<UpstreamStatus> Status(Instant now) const;
 
  private:
+  struct Sent {
+    Instant at;
+    double tokens = 0;
+  };
+
   struct Entry {
+    Entry(const admission::BreakerSettings& breaker_settings,
+          const admission::ConcurrencySettings& limit_settings)
+        : breaker(breaker_settings), limit(limit_settings) {}
+
     platform::ListedInstance listed;
     LoadReport report;
     Instant report_taken;
@@ -107,8 +120,9 @@
     admission::Breaker breaker;
     admission::ConcurrencyLimit limit;
     int64_t in_flight = 0;
-    double own_calls = 0;
-    double own_tokens = 0;
+    /// Calls sent after the last report was taken, oldest first.
+    std::deque<Sent> sent;
+    double pending_tokens = 0;
     double slowness = 1;
     Micros mean_service{0};
   };
--- a/Source/UnitTests/Core/Routing/routing_test.cc
+++ b/Source/UnitTests/Core/Routing/routing_test.cc
@@ -165,7 +165,8 @@
   auto share = [&](Micros local, Instant returned, Instant now) {
     int sent = 0;
     for (int i = 0; i < 1000; ++i) {
-      sent += away.Allows(region, local, good, target, returned, now, &random)
+      sent += away.Allows(region, local, good, target, false, returned, now,
+                          &random)
                   ? 1
                   : 0;
     }
@@ -183,8 +184,8 @@
   CHECK(share(Millis(400), {}, start + Seconds(21)) ==
         0);  // below the stop: off
   CHECK(share(Millis(700), {}, start + Seconds(22)) == 0);  // and stays off
-  CHECK_FALSE(away.Allows(region, Millis(900), Millis(850), target, {}, start,
-                          &random));
+  CHECK_FALSE(away.Allows(region, Millis(900), Millis(850), target, false, {},
+                          start, &random));
 }
 
 RouteInput InputWith(size_t local) {
@@ -281,20 +282,59 @@
   REQUIRE(table.Start(a, 300, now).has_value());
   CHECK(see().own_in_flight == 1);
   CHECK(see().own_tokens == 300);
-  table.OnFirstToken(a, Millis(100), Millis(400), true, now);
+  table.OnFirstToken(a, 300, Millis(100), Millis(400), true, now);
   CHECK(see().slowness > 1.5);
-  table.End(a, CallVerdict::kGood, Seconds(2), now);
+  table.End(a, 0, CallVerdict::kGood, Seconds(2), now);
   CHECK(see().own_in_flight == 0);
   CHECK(see().mean_service == Seconds(2));
   table.OnReport(UpstreamId("a"), LoadReport(), now);
-  CHECK(see().own_tokens == 0);
+  CHECK(see().own_tokens == 0);  // sent before the report was taken
+  CHECK(see().own_pending_tokens == 0);
   for (int i = 0; i < 3; ++i) {
     REQUIRE(table.Start(a, 1, now).has_value());
-    table.End(a, CallVerdict::kFailed, Seconds(0), now);
+    table.End(a, 0, CallVerdict::kFailed, Seconds(0), now);
   }
   CHECK(table.ModelCandidates(ModelName("m"), {}, now).empty());
 }
 
+TEST_CASE("a report that lags keeps what was sent after it was taken") {
+  Instant now(Seconds(100));
+  UpstreamTable table({}, {});
+  table.Refresh({Listed("a")});
+  uint32_t a = *table.HandleOf(UpstreamId("a"));
+  REQUIRE(table.Start(a, 100, now - Seconds(20)).has_value());
+  REQUIRE(table.Start(a, 200, now - Seconds(2)).has_value());
+  LoadReport late;
+  late.lag = Seconds(10);
+  table.OnReport(UpstreamId("a"), late, now);
+  Candidate seen = table.ModelCandidates(ModelName("m"), {}, now).at(0);
+  CHECK(seen.own_calls == 1);
+  CHECK(seen.own_tokens == 200);
+  CHECK(seen.own_pending_tokens == 300);
+  CHECK(seen.age == Seconds(10));
+}
+
+TEST_CASE("without reports an upstream is judged by what was sent to it") {
+  Instant now(Seconds(100));
+  UpstreamTable table({}, {});
+  table.Refresh({Listed("a")});
+  uint32_t a = *table.HandleOf(UpstreamId("a"));
+  auto predict = [&] {
+    return PredictFirstToken(
+        table.ModelCandidates(ModelName("m"), {}, now).at(0), {400}, {3, 0.25});
+  };
+  CHECK(predict() == Millis(100));
+  // Finished calls leave nothing behind, however many there were.
+  for (int i = 0; i < 300; ++i) {
+    REQUIRE(table.Start(a, 400, now).has_value());
+    table.OnFirstToken(a, 400, Millis(100), Millis(100), true, now);
+    table.End(a, 0, CallVerdict::kGood, Seconds(2), now);
+  }
+  CHECK(predict() == Millis(100));
+  REQUIRE(table.Start(a, 400, now).has_value());
+  CHECK(predict() > Millis(350));
+}
+
 TEST_CASE("subsets are bounded and cover every upstream about equally") {
   std::vector<platform::ListedInstance> upstreams;
   for (int i = 0; i < 1000; ++i) {
