--- a/Source/UnitTests/Core/Gateway/node_settings_test.cc
+++ b/Source/UnitTests/Core/Gateway/node_settings_test.cc
@@ -132,7 +132,7 @@
       AnswerCheck check(row.head);
       std::string handed_on;
       for (size_t at = 0; at < row.body.size(); at += step) {
-        handed_on += check.Add(std::string_view(row.body).substr(at, step));
+        handed_on += check.Add(row.body.substr(at, step));
       }
       INFO(row.name << " in steps of " << step);
       CHECK(check.IsWhole(row.length_verified) == row.whole);
