One text sink, one hold time for leaving upstreams, dead bench code removed

Cause: reading the change once more showed the same answer collector in the peer caller and the exploration, the 30 s hold of a leaving upstream stated in two files, and a lookup in the routing experiment that copied the upstream list to return its own argument. Change: Gateway/text_sink.h, routing::kLeavingHold, the handle used directly, an unused field removed. Behaviour as before. Seen and left: the runner copies the member list for each call to count it.

--- a/Source/BasilvalveBench/routing_experiment.cc
+++ b/Source/BasilvalveBench/routing_experiment.cc
@@ -37,7 +37,6 @@
   std::vector<VirtualEngine> engines;
   std::vector<bool> live;
   std::vector<Instance> instances;
-  Micros cut_until{0};
   Instant returned;
   bool cut = false;
 };
@@ -426,8 +425,9 @@
     it.prefixes->Insert(job.blocks, chosen.handle);
     double uncached = std::max(0.0, job.prompt_tokens - chosen.cached_tokens);
     (void)it.table->Start(chosen.handle, uncached, At(now));
-    size_t engine = std::stoul(
-        it.table->Listed().empty() ? "0" : NameOf(*it.table, chosen.handle));
+    // Handles are given in the order of the first listing, which is the
+    // engines' own.
+    size_t engine = chosen.handle;
     JobTimes times = regions_[region].engines[engine].Add(job, now);
     feedback_.push({now + times.first_token, region, instance, chosen.handle,
                     decision.predicted_local, times.first_token, uncached,
@@ -437,14 +437,6 @@
     Record(home, region, job, times);
   }
 
-  static std::string NameOf(const routing::UpstreamTable& table,
-                            uint32_t handle) {
-    // Handles are given in the order of the first listing, which is that of the
-    // names.
-    (void)table;
-    return std::to_string(handle);
-  }
-
   void Record(size_t home, size_t region, const EngineJob& job,
               const JobTimes& times) {
     Micros first = times.first_token;
--- a/Source/Core/Gateway/node.cc
+++ b/Source/Core/Gateway/node.cc
@@ -193,8 +193,8 @@
     sync_->OnDifference(member);
   };
   hooks.upstream_leaving = [this](const UpstreamId& upstream, Millis /*age*/) {
-    constexpr Millis kHold{30000};
-    parts_.upstreams->MarkLeaving(upstream, clock_.Now(), kHold);
+    parts_.upstreams->MarkLeaving(upstream, clock_.Now(),
+                                  routing::kLeavingHold);
   };
   hooks.load_percent = [this] { return parts_.shares->LoadPercent(); };
   return hooks;
--- a/Source/Core/Gateway/peer_caller.cc
+++ b/Source/Core/Gateway/peer_caller.cc
@@ -1,6 +1,7 @@
 #include "Core/Gateway/peer_caller.h"
 
 #include "Core/Gateway/forwarded_calls.h"
+#include "Core/Gateway/text_sink.h"
 
 namespace basilvalve::gateway {
 namespace {
@@ -79,17 +80,6 @@
                                     peer::Purpose purpose,
                                     const RequestId& request,
                                     const std::string& body, Millis limit) {
-  /// Collects the answer.
-  class TextSink : public AnswerSink {
-   public:
-    bool Begin(const peer::AnswerHead& /*head*/) override { return true; }
-    bool Piece(std::string_view piece) override {
-      text.append(piece);
-      return true;
-    }
-    bool Gone() override { return false; }
-    std::string text;
-  };
   Call call;
   call.id = request;
   call.body = body;
--- /dev/null
+++ b/Source/Core/Gateway/text_sink.h
@@ -0,0 +1,24 @@
+// Collects an answer as text.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "Core/Gateway/call.h"
+
+namespace basilvalve::gateway {
+
+/// A receiver that takes everything and never goes away. Not thread safe.
+class TextSink : public AnswerSink {
+ public:
+  bool Begin(const peer::AnswerHead& /*head*/) override { return true; }
+  bool Piece(std::string_view piece) override {
+    text.append(piece);
+    return true;
+  }
+  bool Gone() override { return false; }
+
+  std::string text;
+};
+
+}  // namespace basilvalve::gateway
--- a/Source/Core/Gateway/upstream_caller.cc
+++ b/Source/Core/Gateway/upstream_caller.cc
@@ -13,9 +13,6 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 constexpr int kMaxResumes = 2;
-// A draining upstream is left alone this long, whatever the lagging list says
-// of it.
-constexpr Millis kLeavingHold{30000};
 constexpr Millis kCancelTimeout{500};
 constexpr size_t kCancelAnswerBytes = 4096;
 
@@ -215,7 +212,8 @@
   if (state.draining()) {
     parts_->upstreams->End(plan.handle, state.PendingTokens(),
                            routing::CallVerdict::kDraining, now - begin, now);
-    if (parts_->upstreams->MarkLeaving(target->id, now, kLeavingHold)) {
+    if (parts_->upstreams->MarkLeaving(target->id, now,
+                                       routing::kLeavingHold)) {
       parts_->cluster->NoticeLeaving(target->id);
     }
     return EndOf(
--- a/Source/Core/Routing/upstream_table.h
+++ b/Source/Core/Routing/upstream_table.h
@@ -37,6 +37,10 @@
   http::Endpoint endpoint;
 };
 
+/// A leaving upstream is left alone this long, whatever the lagging list says
+/// of it.
+inline constexpr Millis kLeavingHold{30000};
+
 /// How a call to an upstream went, from the upstream's point of view.
 enum class CallVerdict {
   kGood,
--- a/Source/UnitTests/Explore/paper_fleet.cc
+++ b/Source/UnitTests/Explore/paper_fleet.cc
@@ -4,11 +4,13 @@
 
 #include "Core/Claims/ticket.h"
 #include "Core/Common/hash.h"
+#include "Core/Gateway/text_sink.h"
 
 namespace basilvalve::explore {
 namespace {
 
 using gateway::CallEnd;
+using gateway::TextSink;
 using platform::StoreEntry;
 
 constexpr std::string_view kSettleService = "payments";
@@ -28,18 +30,6 @@
   return settings;
 }
 
-/// Collects an answer.
-class TextSink : public gateway::AnswerSink {
- public:
-  bool Begin(const peer::AnswerHead& /*head*/) override { return true; }
-  bool Piece(std::string_view piece) override {
-    text.append(piece);
-    return true;
-  }
-  bool Gone() override { return false; }
-  std::string text;
-};
-
 CallEnd PeerLost(Outcome outcome) {
   return {outcome, ResultCode::kPeerLost, "paper link", false, Millis(0)};
 }
