--- /dev/null
+++ b/Source/Core/Edge/beat_codec.h
@@ -0,0 +1,17 @@
+// Beats as datagrams (MessagePack).
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Core/Flow/fleet_view.h"
+
+namespace basilvalve::edge {
+
+/// Thread safe.
+std::string EncodeBeat(const flow::Beat& beat);
+/// nullopt for bytes that are no beat. Thread safe.
+std::optional<flow::Beat> DecodeBeat(std::string_view bytes);
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -0,0 +1,127 @@
+#include "Core/Edge/edge_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace basilvalve::edge {
+namespace {
+
+// Seconds; around the objectives in use, 0.3 to 1.8 s, and the limits, 12 s.
+const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 1.8, 3, 6, 12};
+
+double InSeconds(Micros time) { return static_cast<double>(time.count()) / 1e6; }
+
+}  // namespace
+
+struct EdgeMetrics::Impl {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& calls =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_calls_total")
+          .Help("Calls ended, by outcome and status.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& sends =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_sends_total")
+          .Help("Calls sent on, here or away.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& repeats =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_repeats_total")
+          .Help("Calls sent once more, by reason.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& store =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_store_calls_total")
+          .Help("Calls to the platform's store, by kind and status.")
+          .Register(registry);
+  prometheus::Counter& region_bytes =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_region_bytes_total")
+          .Help("Bytes sent to and received from other regions.")
+          .Register(registry)
+          .Add({});
+  prometheus::Counter& bad_beats =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_bad_datagrams_total")
+          .Help("Datagrams that were no beat.")
+          .Register(registry)
+          .Add({});
+  prometheus::Family<prometheus::Histogram>& latency =
+      prometheus::BuildHistogram()
+          .Name("basilvalve_edge_latency_seconds")
+          .Help("Time to the first byte and to the whole answer.")
+          .Register(registry);
+  prometheus::Histogram& first_byte =
+      latency.Add({{"to", "first_byte"}}, kLatencyBuckets);
+  prometheus::Histogram& whole = latency.Add({{"to", "whole"}}, kLatencyBuckets);
+  prometheus::Family<prometheus::Gauge>& connections =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_connections_opened")
+          .Help("Connections opened since the start.")
+          .Register(registry);
+  prometheus::Gauge& state_version =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_state_version")
+          .Help("Version of the desired state in force.")
+          .Register(registry)
+          .Add({});
+};
+
+EdgeMetrics::EdgeMetrics() : impl_(std::make_unique<Impl>()) {}
+EdgeMetrics::~EdgeMetrics() = default;
+
+void EdgeMetrics::CountCall(std::string_view outcome, int status) {
+  impl_->calls
+      .Add({{"outcome", std::string(outcome)},
+            {"status", std::to_string(status)}})
+      .Increment();
+}
+
+void EdgeMetrics::ObserveFirstByte(Micros time) {
+  impl_->first_byte.Observe(InSeconds(time));
+}
+
+void EdgeMetrics::ObserveWhole(Micros time) {
+  impl_->whole.Observe(InSeconds(time));
+}
+
+void EdgeMetrics::CountSend(std::string_view where) {
+  impl_->sends.Add({{"where", std::string(where)}}).Increment();
+}
+
+void EdgeMetrics::CountRepeat(std::string_view reason) {
+  impl_->repeats.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void EdgeMetrics::CountStoreCall(std::string_view kind, int status) {
+  impl_->store
+      .Add({{"kind", std::string(kind)}, {"status", std::to_string(status)}})
+      .Increment();
+}
+
+void EdgeMetrics::CountRegionBytes(uint64_t bytes) {
+  impl_->region_bytes.Increment(static_cast<double>(bytes));
+}
+
+void EdgeMetrics::CountBadBeat() { impl_->bad_beats.Increment(); }
+
+void EdgeMetrics::SetConnectionsOpened(uint64_t upstreams, uint64_t peers) {
+  impl_->connections.Add({{"to", "upstreams"}})
+      .Set(static_cast<double>(upstreams));
+  impl_->connections.Add({{"to", "peers"}}).Set(static_cast<double>(peers));
+}
+
+void EdgeMetrics::SetStateVersion(uint64_t version) {
+  impl_->state_version.Set(static_cast<double>(version));
+}
+
+std::string EdgeMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/edge_metrics.h
@@ -0,0 +1,40 @@
+// Counters and latency histograms of the event-driven path.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "Core/Common/clock.h"
+
+namespace basilvalve::edge {
+
+/// Written and read on the loop's thread. Label values come from bounded sets.
+class EdgeMetrics {
+ public:
+  EdgeMetrics();
+  ~EdgeMetrics();
+  EdgeMetrics(const EdgeMetrics&) = delete;
+  EdgeMetrics& operator=(const EdgeMetrics&) = delete;
+
+  /// A call ended as `outcome` with an answer of `status`.
+  void CountCall(std::string_view outcome, int status);
+  void ObserveFirstByte(Micros time);
+  void ObserveWhole(Micros time);
+  /// A call was sent to an upstream (`here`) or another region (`away`).
+  void CountSend(std::string_view where);
+  void CountRepeat(std::string_view reason);
+  void CountStoreCall(std::string_view kind, int status);
+  void CountRegionBytes(uint64_t bytes);
+  void CountBadBeat();
+  void SetConnectionsOpened(uint64_t upstreams, uint64_t peers);
+  void SetStateVersion(uint64_t version);
+  /// All of it in the text exposition format.
+  std::string Text() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/edge_parts.h
@@ -0,0 +1,31 @@
+// What the calls of one instance share.
+#pragma once
+
+#include "Core/Common/random.h"
+#include "Core/Edge/call_dialect.h"
+#include "Core/Edge/connection_pool.h"
+#include "Core/Edge/edge_metrics.h"
+#include "Core/Flow/cold_gate.h"
+#include "Core/Flow/dispatch_policy.h"
+#include "Core/Flow/retry_allowance.h"
+
+namespace basilvalve::edge {
+
+/// Owned by the node; lives longer than every call. Not thread safe.
+struct EdgeParts {
+  net::EventLoop* loop = nullptr;
+  const CallDialect* dialect = nullptr;
+  flow::UpstreamRegistry* registry = nullptr;
+  flow::Placer* placer = nullptr;
+  flow::RetryAllowance* allowance = nullptr;
+  flow::ColdGate* cold_gate = nullptr;
+  flow::FleetView* fleet = nullptr;
+  ConnectionPool* upstream_pool = nullptr;
+  ConnectionPool* peer_pool = nullptr;
+  EdgeMetrics* metrics = nullptr;
+  Random* random = nullptr;
+  /// Time there and back to another region.
+  Micros region_round_trip{0};
+};
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/exchange.h
@@ -0,0 +1,126 @@
+// One call from its arrival to its answer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "Core/Edge/edge_parts.h"
+#include "Core/Edge/hop_header.h"
+#include "Core/Flow/event_splitter.h"
+#include "Core/Net/server_connection.h"
+
+namespace basilvalve::edge {
+
+/// The contract that a call runs under.
+struct CallContract {
+  std::shared_ptr<const flow::Route> route;
+  ServiceName service;
+  /// Copied: the call outlives the desired state that it came in under.
+  flow::ServiceTraits traits;
+  /// Time that the caller and the route leave it, as of its arrival.
+  Millis time_left{0};
+  Millis target_left{0};
+  /// Whether another instance passed it on: then it runs here or not at all.
+  bool is_from_peer = false;
+};
+
+/// Sends a call to upstreams or instances until there is an answer, and keeps
+/// account of what may have run. Lives while its connections call it. Not
+/// thread safe.
+class Exchange : public net::ClientObserver,
+                 public std::enable_shared_from_this<Exchange> {
+ public:
+  using EndedFn = std::function<void(Exchange*)>;
+
+  Exchange(EdgeParts* parts, net::ServerConnection::Ptr caller,
+           net::ServerRequest request, CallTerms terms, CallContract contract,
+           EndedFn on_ended);
+  ~Exchange() override;
+
+  /// Call once. Not thread safe.
+  void Start();
+  /// Whether it waits for this upstream's answer. Not thread safe.
+  bool IsAt(const flow::Upstream& upstream) const {
+    return attempt_.upstream.get() == &upstream;
+  }
+
+  bool OnHead(const net::MessageHead& head) override;
+  void OnBody(std::string_view bytes) override;
+  void OnDone() override;
+  void OnFault(net::ClientFault fault) override;
+
+ private:
+  /// One send and what came of it.
+  struct Attempt {
+    bool is_active = false;
+    flow::UpstreamRegistry::Ptr upstream;
+    InstanceId peer;
+    RegionId region;
+    net::Endpoint endpoint;
+    std::shared_ptr<net::ClientConnection> connection;
+    Instant sent_at;
+    Instant event_at;
+    flow::Forecast forecast;
+    flow::LoadShare share;
+    bool has_first = false;
+    bool is_refusal = false;
+    bool is_unproven = false;
+    /// What a peer said of a call that no upstream answered.
+    std::optional<Outcome> peer_outcome;
+    net::MessageHead head;
+    std::string body;
+  };
+
+  void Place();
+  flow::DispatchVerdict DecideNow(std::optional<flow::Placement>* local);
+  void SendHere(const flow::Placement& placement);
+  void SendAway(const RegionId& region);
+  std::string RequestBytes(const SendTerms& terms, std::string_view hop) const;
+  void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
+                    std::string bytes);
+  void ReleaseShare();
+  void OnFirstEvent();
+  void PassStream(std::string_view bytes);
+  void BeginStream(const net::MessageHead& head);
+  void AnswerWhole();
+  void OnNotRun(std::string_view why);
+  void OnMayHaveRun(std::string_view why);
+  bool TryAgain(std::string_view why);
+  void AnswerFailure(int status, Millis retry_after, std::string_view why);
+  void OnLimit();
+  void OnSilence();
+  void ArmSilence();
+  void OnCallerGone();
+  void CancelAttempt();
+  void Finish(std::string_view outcome, int status, std::string_view why);
+  bool IsRepeatable() const { return contract_.route->IsRepeatable(); }
+  bool IsStream() const {
+    return contract_.route->kind == flow::CallKind::kStream;
+  }
+  Millis TimeLeft() const;
+
+  EdgeParts* parts_;
+  net::ServerConnection::Ptr caller_;
+  net::ServerRequest request_;
+  CallTerms terms_;
+  CallContract contract_;
+  EndedFn on_ended_;
+  net::Timer limit_timer_;
+  net::Timer silence_timer_;
+  Attempt attempt_;
+  flow::EventSplitter splitter_;
+  std::set<UpstreamId> tried_;
+  std::set<RegionId> tried_regions_;
+  Instant limit_at_;
+  Instant target_at_;
+  int sends_ = 0;
+  /// Sends that may have begun to run.
+  int runs_ = 0;
+  int failed_connects_ = 0;
+  bool stream_begun_ = false;
+  bool is_finished_ = false;
+};
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/hop_header.h
@@ -0,0 +1,37 @@
+// What one instance tells another with a call that it passes on.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Core/Flow/desired_state.h"
+
+namespace basilvalve::edge {
+
+/// Header of a call between instances.
+inline constexpr std::string_view kHopHeader = "Basilvalve-Hop";
+/// Header of an answer between instances that no upstream gave: what became of
+/// the call, as OutcomeName writes it.
+inline constexpr std::string_view kHopOutcomeHeader = "Basilvalve-Outcome";
+
+/// The contract under which the sender decided. The receiver needs no route of
+/// its own, so that two versions of the desired state cannot contradict.
+struct HopTerms {
+  ServiceName service;
+  flow::CallKind kind = flow::CallKind::kNonIdempotent;
+  bool is_resumable = false;
+  int attempts_left = 1;
+  int priority = 0;
+  /// As of when it is sent.
+  Millis time_left{0};
+  Millis target_left{0};
+  Millis pause_target{0};
+};
+
+/// Thread safe.
+std::string FormatHop(const HopTerms& terms);
+/// Inverse of FormatHop; nullopt for other text. Thread safe.
+std::optional<HopTerms> ParseHop(const std::string& text);
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -0,0 +1,85 @@
+#include "Core/Flow/dispatch_policy.h"
+
+#include <algorithm>
+
+namespace basilvalve::flow {
+namespace {
+
+// A forecast is kept to with some room: it does not know of what neighbours
+// send meanwhile.
+constexpr double kTargetShare = 0.7;
+// Beyond this share of the objective and the limit a call would only push
+// others over theirs.
+constexpr double kRefuseTargetShare = 1.0;
+constexpr double kLimitShare = 0.85;
+constexpr double kComfortLimitShare = 0.6;
+// Another region has to be better by this much, against forth and back.
+constexpr double kAwayMargin = 0.8;
+constexpr Millis kShortestRetryAfter{50};
+constexpr Millis kNoUpstreamRetryAfter{500};
+
+// A forecast against what the call may take: below 1 it is in time.
+double StrainOf(const Forecast& forecast, const DispatchInput& input,
+                double target_share, double limit_share) {
+  double target = std::max<double>(
+      1000.0, target_share * static_cast<double>(input.to_target.count()));
+  double limit = std::max<double>(
+      1000.0, limit_share * static_cast<double>(input.to_limit.count()));
+  return std::max(static_cast<double>(forecast.first_byte.count()) / target,
+                  static_cast<double>(forecast.finish.count()) / limit);
+}
+
+Forecast ForecastAway(const RegionOffer& offer, const DispatchInput& input) {
+  Forecast forecast;
+  double reading_ms = offer.room.read_tokens_per_ms > 0
+                          ? input.tokens_to_read / offer.room.read_tokens_per_ms
+                          : 0;
+  forecast.first_byte = input.hop + offer.room.wait +
+                        Micros(static_cast<int64_t>(reading_ms * 1000));
+  forecast.finish =
+      forecast.first_byte +
+      Micros(static_cast<int64_t>(offer.room.token_pace_us * input.tokens_out));
+  return forecast;
+}
+
+}  // namespace
+
+DispatchVerdict Decide(const DispatchInput& input) {
+  std::optional<double> local;
+  if (input.local) {
+    local = StrainOf(*input.local, input, kTargetShare, kComfortLimitShare);
+    if (*local <= 1) {
+      return {DispatchKind::kLocal, {}, {}};
+    }
+  }
+  const RegionOffer* best = nullptr;
+  double away = 0;
+  Forecast best_forecast;
+  for (const RegionOffer& offer : input.offers) {
+    Forecast forecast = ForecastAway(offer, input);
+    double strain =
+        StrainOf(forecast, input, kTargetShare, kComfortLimitShare);
+    if (best == nullptr || strain < away) {
+      best = &offer;
+      away = strain;
+      best_forecast = forecast;
+    }
+  }
+  bool is_away = best != nullptr && (!local || away < *local * kAwayMargin);
+  if (!is_away && !local) {
+    return {DispatchKind::kRefuse, {}, kNoUpstreamRetryAfter};
+  }
+  const Forecast& chosen = is_away ? best_forecast : *input.local;
+  if (input.is_model_call &&
+      StrainOf(chosen, input, kRefuseTargetShare, kLimitShare) > 1) {
+    auto over = std::chrono::duration_cast<Millis>(
+        chosen.first_byte - std::max(input.to_target, Micros::zero()));
+    return {DispatchKind::kRefuse, {}, std::max(over, kShortestRetryAfter)};
+  }
+  if (is_away) {
+    return {DispatchKind::kRemote, best->region, {}};
+  }
+  return {DispatchKind::kLocal, {}, {}};
+}
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -0,0 +1,42 @@
+// Whether a call runs here, in another region, or is refused at once.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "Core/Flow/fleet_view.h"
+
+namespace basilvalve::flow {
+
+/// What the decision is made from.
+struct DispatchInput {
+  bool is_model_call = false;
+  /// Tokens that another region would have to read.
+  double tokens_to_read = 0;
+  uint32_t tokens_out = 0;
+  /// Time left of the response-time objective; may be negative.
+  Micros to_target{0};
+  /// Time left until the caller's or the route's limit.
+  Micros to_limit{0};
+  /// The best upstream here, if any has room.
+  std::optional<Forecast> local;
+  /// Permitted other regions; empty for a call that came from one.
+  std::vector<RegionOffer> offers;
+  /// Time there and back to another region.
+  Micros hop{0};
+};
+
+enum class DispatchKind { kLocal, kRemote, kRefuse };
+
+struct DispatchVerdict {
+  DispatchKind kind = DispatchKind::kRefuse;
+  /// For kRemote.
+  RegionId region;
+  /// For kRefuse: when there will be room.
+  Millis retry_after{0};
+};
+
+/// Pure. Thread safe.
+DispatchVerdict Decide(const DispatchInput& input);
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/event_splitter.cc
@@ -0,0 +1,58 @@
+#include "Core/Flow/event_splitter.h"
+
+#include <charconv>
+
+namespace basilvalve::flow {
+namespace {
+
+// End of the first whole event in the text, 0 if there is none. Lines end with
+// LF or CRLF.
+size_t EventEnd(std::string_view text) {
+  size_t at = 0;
+  while (true) {
+    size_t line_end = text.find('\n', at);
+    if (line_end == std::string_view::npos) {
+      return 0;
+    }
+    std::string_view line = text.substr(at, line_end - at);
+    if (line.empty() || line == "\r") {
+      return line_end + 1;
+    }
+    at = line_end + 1;
+  }
+}
+
+}  // namespace
+
+std::string EventSplitter::Feed(std::string_view bytes) {
+  partial_.append(bytes);
+  size_t whole = 0;
+  while (size_t n = EventEnd(std::string_view(partial_).substr(whole))) {
+    Inspect(std::string_view(partial_).substr(whole, n));
+    whole += n;
+  }
+  std::string events = partial_.substr(0, whole);
+  partial_.erase(0, whole);
+  return events;
+}
+
+void EventSplitter::Inspect(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  ++events_;
+  size_t at = event.starts_with(kField) ? 0 : event.find("\nid:");
+  if (at == std::string_view::npos) {
+    return;
+  }
+  at = event.find(kField, at) + kField.size();
+  while (at < event.size() && event[at] == ' ') {
+    ++at;
+  }
+  int64_t id = 0;
+  auto [end, ec] =
+      std::from_chars(event.data() + at, event.data() + event.size(), id);
+  if (ec == std::errc()) {
+    last_id_ = id;
+  }
+}
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/fleet_view.h
@@ -0,0 +1,118 @@
+// The other instances: who is there, and what their regions have room for.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/Flow/placement.h"
+
+namespace basilvalve::flow {
+
+/// How one instance is reached.
+struct InstanceRecord {
+  InstanceId id;
+  ZoneId zone;
+  RegionId region;
+  /// Where callers connect.
+  std::string front;
+  /// Where other instances send calls and datagrams.
+  std::string peer;
+  /// Start of its process; a later start has a higher number.
+  uint64_t incarnation = 0;
+  bool is_draining = false;
+
+  bool operator==(const InstanceRecord&) const = default;
+};
+
+/// What a region could do for one more call of a service.
+struct ServiceRoom {
+  /// Upstreams that may be sent to.
+  uint32_t upstreams = 0;
+  /// Mean time until an upstream gets to a new call.
+  Micros wait{0};
+  /// Prompt tokens that one of them reads in a millisecond.
+  double read_tokens_per_ms = 0;
+  /// Mean time for one generated token, microseconds; 0 if none was seen.
+  double token_pace_us = 0;
+};
+
+/// What an instance tells the others now and again.
+struct Beat {
+  InstanceRecord from;
+  uint64_t sequence = 0;
+  /// Version of the desired state that it has in force.
+  uint64_t state_version = 0;
+  /// Its own work at each upstream; only told within the region.
+  std::map<UpstreamId, LoadShare> loads;
+  std::map<ServiceName, ServiceRoom> rooms;
+};
+
+/// A region's offer as the freshest of its instances told it.
+struct RegionOffer {
+  RegionId region;
+  ServiceRoom room;
+  Micros age{0};
+};
+
+/// Merges registrations and beats. Not thread safe.
+class FleetView {
+ public:
+  explicit FleetView(InstanceRecord self);
+
+  /// Registrations, as the platform holds them.
+  void Register(const InstanceRecord& record, Instant now);
+  void Unregister(const InstanceId& id);
+  void ReplaceAll(const std::vector<InstanceRecord>& records, Instant now);
+  /// A beat came in. False if it is older than what is known.
+  bool OnBeat(const Beat& beat, Instant now);
+  /// A call to the instance failed to connect: it is passed over until it is
+  /// heard again.
+  void OnUnreachable(const InstanceId& id);
+
+  /// Instances that callers may be sent to, this one included if it does not
+  /// drain.
+  std::vector<InstanceRecord> Entries(const RegionId& region,
+                                      Instant now) const;
+  /// Other instances of a region that were heard of lately.
+  std::vector<InstanceRecord> Live(const RegionId& region, Instant now) const;
+  /// Everyone to whom beats go.
+  std::vector<InstanceRecord> Others() const;
+  /// Live instances with this one.
+  size_t LiveCount(Instant now) const;
+  /// Other regions with live instances and their room for the service.
+  std::vector<RegionOffer> Offers(const ServiceName& service,
+                                  Instant now) const;
+  /// Work went to another region after its last beat.
+  void OnSentAway(const RegionId& region, const ServiceName& service,
+                  double tokens);
+  /// Forgets who is neither registered nor heard.
+  void Sweep(Instant now);
+
+  void SetDraining() { self_.is_draining = true; }
+  const InstanceRecord& self() const { return self_; }
+
+ private:
+  struct Known {
+    InstanceRecord record;
+    bool is_registered = false;
+    Instant registered_at;
+    std::optional<Instant> heard_at;
+    bool is_unreachable = false;
+    uint64_t sequence = 0;
+    std::map<ServiceName, ServiceRoom> rooms;
+  };
+  struct Away {
+    double tokens = 0;
+  };
+
+  static bool Supersedes(const Known& known, uint64_t incarnation, Instant now);
+  bool IsLive(const Known& known, Instant now) const;
+
+  InstanceRecord self_;
+  std::map<InstanceId, Known> known_;
+  std::map<RegionId, std::map<ServiceName, Away>> away_;
+};
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/placement.h
@@ -0,0 +1,63 @@
+// Which upstream of the region runs a call, and what it may expect there.
+#pragma once
+
+#include <optional>
+#include <set>
+
+#include "Core/Flow/upstream_registry.h"
+
+namespace basilvalve::flow {
+
+/// What a call needs of its upstream.
+struct PlacementNeed {
+  const Route* route = nullptr;
+  const ServiceTraits* traits = nullptr;
+  ServiceName service;
+  const CallSize* size = nullptr;
+  /// Upstreams that were tried before.
+  const std::set<UpstreamId>* tried = nullptr;
+};
+
+/// An expectation for one upstream or region.
+struct Forecast {
+  Micros first_byte{0};
+  /// To the end of the whole answer.
+  Micros finish{0};
+  /// Prompt tokens to be read before the first event, those of others too.
+  double tokens_ahead = 0;
+};
+
+/// An upstream with what a call may expect of it.
+struct Placement {
+  UpstreamRegistry::Ptr upstream;
+  Forecast forecast;
+};
+
+/// Whether a cold upstream may take one more call from this instance.
+using ColdGateFn = bool (*)(void* context, const Upstream& upstream);
+
+/// Chooses by forecast, with a preference for the upstreams that keep the
+/// shared pieces of the prompt. Pure but for what the registry learned. Not
+/// thread safe.
+class Placer {
+ public:
+  Placer(UpstreamRegistry* registry, void* cold_context, ColdGateFn cold_gate)
+      : registry_(registry),
+        cold_context_(cold_context),
+        cold_gate_(cold_gate) {}
+
+  /// The best upstream that may be sent to and has room; nullopt if none has.
+  std::optional<Placement> Choose(const PlacementNeed& need, Instant now) const;
+
+ private:
+  Forecast Predict(const PlacementNeed& need, const Upstream& upstream,
+                   uint32_t kept_tokens, Instant now) const;
+  bool HasRoom(const PlacementNeed& need, const Upstream& upstream,
+               Instant now) const;
+
+  UpstreamRegistry* registry_;
+  void* cold_context_;
+  ColdGateFn cold_gate_;
+};
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/upstream.cc
@@ -0,0 +1,95 @@
+#include "Core/Flow/upstream.h"
+
+#include "Core/Common/hash.h"
+
+namespace basilvalve::flow {
+namespace {
+
+// A neighbour that fell silent holds its work no longer than its callers wait
+// for a first token.
+constexpr Millis kToldLifetime{2500};
+
+// Failures open the breaker at once for a short time: a call that finds the
+// upstream well again closes it, and the neighbours carry the load meanwhile.
+constexpr admission::BreakerSettings kBreaker{
+    .failures_to_open = 3,
+    .open_time = Millis(800),
+    .max_open_time = Millis(6000),
+    .half_open_probes = 2,
+};
+
+}  // namespace
+
+uint64_t CallSize::AffinityKey() const {
+  if (parts.empty()) {
+    return 0;
+  }
+  size_t n = parts.size() > 1 ? parts.size() - 1 : parts.size();
+  uint64_t key = 0;
+  for (size_t i = 0; i < n; ++i) {
+    key = Hash64(std::string_view(reinterpret_cast<const char*>(&parts[i].id),
+                                  sizeof(parts[i].id)),
+                 key);
+  }
+  return key;
+}
+
+void LoadShare::Add(const LoadShare& other) {
+  running += other.running;
+  unread_tokens += other.unread_tokens;
+  held_tokens += other.held_tokens;
+}
+
+uint32_t PromptCacheView::KeptTokens(
+    const std::vector<PromptPart>& parts) const {
+  uint32_t tokens = 0;
+  for (const PromptPart& part : parts) {
+    auto it = kept_.find(part.id);
+    if (it == kept_.end()) {
+      break;
+    }
+    tokens += std::min(part.tokens, it->second.tokens);
+  }
+  return tokens;
+}
+
+void PromptCacheView::Touch(const std::vector<PromptPart>& parts,
+                            uint64_t memory_tokens) {
+  for (const PromptPart& part : parts) {
+    auto it = kept_.find(part.id);
+    if (it != kept_.end()) {
+      order_.splice(order_.begin(), order_, it->second.at);
+      continue;
+    }
+    order_.push_front(part.id);
+    kept_[part.id] = {part.tokens, order_.begin()};
+    total_ += part.tokens;
+  }
+  while (total_ > memory_tokens && !order_.empty()) {
+    auto it = kept_.find(order_.back());
+    total_ -= it->second.tokens;
+    kept_.erase(it);
+    order_.pop_back();
+  }
+}
+
+void PromptCacheView::Clear() {
+  order_.clear();
+  kept_.clear();
+  total_ = 0;
+}
+
+Upstream::Upstream(UpstreamRecord registered)
+    : record(std::move(registered)), breaker(kBreaker) {}
+
+LoadShare Upstream::TotalLoad(Instant now) const {
+  LoadShare total = own;
+  for (const auto& [instance, told] : neighbours) {
+    if (now - told.at < kToldLifetime) {
+      total.Add(told.share);
+    }
+  }
+  return total;
+}
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -0,0 +1,124 @@
+#include "Core/Flow/upstream_registry.h"
+
+#include <algorithm>
+
+namespace basilvalve::flow {
+namespace {
+
+// Assumed of an engine until a call has shown its speed: a slow one, so that
+// the first calls are spread.
+constexpr double kInitialTokensPerMs = 40;
+constexpr double kInitialBaseUs = 15'000;
+// Weight of one observation; some dozens of calls settle the figure.
+constexpr double kLearnWeight = 0.04;
+// Shorter readings say more about the step than about the speed.
+constexpr double kLeastTokensToLearn = 1500;
+constexpr double kSlowestTokensPerMs = 4;
+constexpr double kFastestTokensPerMs = 400;
+
+}  // namespace
+
+void UpstreamRegistry::Upsert(const UpstreamRecord& record, Instant now) {
+  if (record.region != own_region_) {
+    Remove(record.id);
+    return;
+  }
+  auto it = by_id_.find(record.id);
+  if (it != by_id_.end() && (it->second->record.service != record.service ||
+                             it->second->record.host != record.host ||
+                             it->second->record.port != record.port)) {
+    Remove(record.id);
+    it = by_id_.end();
+  }
+  if (it == by_id_.end()) {
+    auto upstream = std::make_shared<Upstream>(record);
+    by_service_[record.service].push_back(upstream);
+    it = by_id_.emplace(record.id, std::move(upstream)).first;
+  }
+  Upstream& upstream = *it->second;
+  if (upstream.record.born != record.born) {
+    // It started again under its name and remembers nothing.
+    upstream.cache.Clear();
+    upstream.is_misplaced = false;
+  }
+  upstream.record = record;
+  upstream.cold_until =
+      record.cold_remaining > Millis::zero() ? now + record.cold_remaining
+                                             : Instant();
+}
+
+void UpstreamRegistry::Remove(const UpstreamId& id) {
+  auto it = by_id_.find(id);
+  if (it == by_id_.end()) {
+    return;
+  }
+  it->second->is_gone = true;
+  auto& list = by_service_[it->second->record.service];
+  list.erase(std::remove(list.begin(), list.end(), it->second), list.end());
+  by_id_.erase(it);
+}
+
+void UpstreamRegistry::ReplaceAll(const std::vector<UpstreamRecord>& records,
+                                  Instant now) {
+  std::set<UpstreamId> present;
+  for (const UpstreamRecord& record : records) {
+    present.insert(record.id);
+    Upsert(record, now);
+  }
+  std::vector<UpstreamId> gone;
+  for (const auto& [id, upstream] : by_id_) {
+    if (!present.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : gone) {
+    Remove(id);
+  }
+}
+
+void UpstreamRegistry::SetEvacuated(std::set<ZoneId> zones) {
+  evacuated_ = std::move(zones);
+}
+
+const std::vector<UpstreamRegistry::Ptr>& UpstreamRegistry::OfService(
+    const ServiceName& service) const {
+  static const std::vector<Ptr> kNone;
+  auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
+UpstreamRegistry::Ptr UpstreamRegistry::Find(const UpstreamId& id) const {
+  auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : it->second;
+}
+
+bool UpstreamRegistry::MayBeSent(const Upstream& upstream, Instant now) const {
+  return !upstream.is_gone && !upstream.is_misplaced &&
+         !upstream.record.is_draining &&
+         !evacuated_.contains(upstream.record.zone) &&
+         upstream.breaker.Allows(now);
+}
+
+ServiceProfile& UpstreamRegistry::ProfileOf(const ServiceName& service) {
+  auto [it, is_new] = profiles_.try_emplace(service);
+  if (is_new) {
+    it->second.read_tokens_per_ms = kInitialTokensPerMs;
+    it->second.base_us = kInitialBaseUs;
+  }
+  return it->second;
+}
+
+void UpstreamRegistry::LearnReading(const ServiceName& service, double tokens,
+                                    Micros took) {
+  ServiceProfile& profile = ProfileOf(service);
+  double us = static_cast<double>(took.count()) - profile.base_us;
+  if (tokens < kLeastTokensToLearn || us <= 0) {
+    return;
+  }
+  double seen = std::clamp(tokens * 1000 / us, kSlowestTokensPerMs,
+                           kFastestTokensPerMs);
+  profile.read_tokens_per_ms +=
+      kLearnWeight * (seen - profile.read_tokens_per_ms);
+}
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Flow/upstream_registry.h
@@ -0,0 +1,62 @@
+// All upstreams of this instance's region and what each service is like.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "Core/Flow/upstream.h"
+
+namespace basilvalve::flow {
+
+/// What was learned of a service by serving it.
+struct ServiceProfile {
+  /// Prompt tokens that one of its engines reads in a millisecond.
+  double read_tokens_per_ms = 0;
+  /// Time to an answer that needs no reading, microseconds.
+  double base_us = 0;
+};
+
+/// Holds the upstreams by id. The same object stays while an upstream is
+/// registered, so that calls in hand keep their account. Not thread safe.
+class UpstreamRegistry {
+ public:
+  using Ptr = std::shared_ptr<Upstream>;
+
+  explicit UpstreamRegistry(RegionId own_region)
+      : own_region_(std::move(own_region)) {}
+
+  /// A registration was written.
+  void Upsert(const UpstreamRecord& record, Instant now);
+  /// A registration is gone.
+  void Remove(const UpstreamId& id);
+  /// Everything that is registered: what is missing is gone.
+  void ReplaceAll(const std::vector<UpstreamRecord>& records, Instant now);
+  /// The zones to which nothing may be sent. A zone that is taken back counts
+  /// as cold until its upstreams say otherwise.
+  void SetEvacuated(std::set<ZoneId> zones);
+  /// Upstreams of a service in this instance's region, those that may be sent
+  /// to and those that may not.
+  const std::vector<Ptr>& OfService(const ServiceName& service) const;
+  /// The upstream with the id, nullptr if it is not registered here.
+  Ptr Find(const UpstreamId& id) const;
+  /// All upstreams of this region.
+  const std::map<UpstreamId, Ptr>& all() const { return by_id_; }
+  /// Whether a request may be sent to it now, apart from its load.
+  bool MayBeSent(const Upstream& upstream, Instant now) const;
+  /// What was learned of a service; made on first use.
+  ServiceProfile& ProfileOf(const ServiceName& service);
+  /// A first event came after `took`, with `tokens` to read before it.
+  void LearnReading(const ServiceName& service, double tokens, Micros took);
+
+ private:
+  RegionId own_region_;
+  std::map<UpstreamId, Ptr> by_id_;
+  std::map<ServiceName, std::vector<Ptr>> by_service_;
+  std::set<ZoneId> evacuated_;
+  std::map<ServiceName, ServiceProfile> profiles_;
+};
+
+}  // namespace basilvalve::flow
--- /dev/null
+++ b/Source/Core/Net/asio_parts.h
@@ -0,0 +1,23 @@
+// What the sources of this module share of Asio; no other module includes it.
+#pragma once
+
+#include <utility>
+//
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "Core/Net/event_loop.h"
+
+namespace basilvalve::net {
+
+struct EventLoop::Impl {
+  boost::asio::io_context context{1};
+  std::unique_ptr<boost::asio::signal_set> signals;
+};
+
+}  // namespace basilvalve::net
--- /dev/null
+++ b/Source/Core/Net/event_loop.cc
@@ -0,0 +1,90 @@
+#include "Core/Net/event_loop.h"
+
+#include <time.h>
+
+#include "Core/Net/asio_parts.h"
+
+namespace basilvalve::net {
+namespace {
+
+// One read takes at most this much: some pieces of a full socket buffer.
+constexpr size_t kScratchBytes = 64 * 1024;
+
+void WaitForSignal(boost::asio::signal_set* signals,
+                   const std::function<void(int)>& fn) {
+  signals->async_wait(
+      [signals, fn](const boost::system::error_code& ec, int number) {
+        if (ec) {
+          return;
+        }
+        fn(number);
+        WaitForSignal(signals, fn);
+      });
+}
+
+}  // namespace
+
+EventLoop::EventLoop()
+    : impl_(std::make_unique<Impl>()), scratch_(kScratchBytes) {}
+EventLoop::~EventLoop() = default;
+
+void EventLoop::Run() {
+  auto work = boost::asio::make_work_guard(impl_->context);
+  impl_->context.run();
+}
+
+void EventLoop::Stop() { impl_->context.stop(); }
+
+Instant EventLoop::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(Micros(int64_t{now.tv_sec} * 1'000'000 + now.tv_nsec / 1000));
+}
+
+void EventLoop::Post(std::function<void()> fn) {
+  boost::asio::post(impl_->context, std::move(fn));
+}
+
+void EventLoop::OnSignal(std::vector<int> signals,
+                         std::function<void(int)> fn) {
+  impl_->signals =
+      std::make_unique<boost::asio::signal_set>(impl_->context);
+  for (int number : signals) {
+    impl_->signals->add(number);
+  }
+  WaitForSignal(impl_->signals.get(), fn);
+}
+
+struct Timer::Impl {
+  explicit Impl(EventLoop* loop) : timer(loop->impl().context) {}
+  boost::asio::steady_timer timer;
+  std::function<void()> fn;
+  // Tells a callback that is already queued that it has been replaced.
+  uint64_t generation = 0;
+};
+
+Timer::Timer(EventLoop* loop) : impl_(std::make_shared<Impl>(loop)) {}
+Timer::~Timer() { Cancel(); }
+
+void Timer::Set(Micros delay, std::function<void()> fn) {
+  impl_->fn = std::move(fn);
+  uint64_t generation = ++impl_->generation;
+  impl_->timer.expires_after(delay < Micros::zero() ? Micros::zero() : delay);
+  impl_->timer.async_wait([impl = impl_, generation](
+                              const boost::system::error_code& ec) {
+    if (ec || generation != impl->generation || !impl->fn) {
+      return;
+    }
+    auto fn = std::move(impl->fn);
+    impl->fn = nullptr;
+    fn();
+  });
+}
+
+void Timer::Cancel() {
+  ++impl_->generation;
+  impl_->fn = nullptr;
+  impl_->timer.cancel();
+}
+
+}  // namespace basilvalve::net
--- /dev/null
+++ b/Source/Core/Net/message.cc
@@ -0,0 +1,282 @@
+#include "Core/Net/message.h"
+
+#include <utility>
+//
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <variant>
+
+namespace basilvalve::net {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+
+namespace {
+
+char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+
+std::string_view Trimmed(std::string_view text) {
+  size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// What both kinds of parser collect.
+struct Collected {
+  MessageHead head;
+  std::string body;
+  bool has_head = false;
+  size_t lengths = 0;
+};
+
+template <bool kIsRequest>
+class BeastParser : public http::basic_parser<kIsRequest> {
+ public:
+  BeastParser(uint32_t header_limit, uint64_t body_limit) {
+    this->header_limit(header_limit);
+    this->body_limit(body_limit);
+    this->eager(true);
+  }
+  Collected collected;
+
+ private:
+  using View = boost::beast::string_view;
+
+  static std::string_view Std(View view) { return {view.data(), view.size()}; }
+
+  void on_request_impl(http::verb, View method, View target, int version,
+                       error_code& ec) override {
+    collected.head.method = Std(method);
+    collected.head.target = Std(target);
+    CheckVersion(version, &ec);
+  }
+  void on_response_impl(int code, View, int version, error_code& ec) override {
+    collected.head.status = code;
+    CheckVersion(version, &ec);
+  }
+  void CheckVersion(int version, error_code* ec) {
+    // Beast numbers HTTP/1.1 as 11.
+    if (version != 10 && version != 11) {
+      *ec = http::error::bad_version;
+    }
+  }
+  void on_field_impl(http::field name, View name_text, View value,
+                     error_code& ec) override {
+    // Two statements of a length, or a coding that is not plain chunked, can
+    // be read in two ways: whoever reads them otherwise sees another request.
+    if (name == http::field::content_length && ++collected.lengths > 1) {
+      ec = http::error::bad_content_length;
+      return;
+    }
+    if (name == http::field::transfer_encoding) {
+      if (collected.head.chunked ||
+          !EqualsIgnoringCase(Std(value), "chunked")) {
+        ec = http::error::bad_transfer_encoding;
+        return;
+      }
+      collected.head.chunked = true;
+    }
+    collected.head.fields.push_back(
+        {std::string(Std(name_text)), std::string(Std(value))});
+  }
+  void on_header_impl(error_code& ec) override {
+    if (collected.head.chunked && collected.lengths > 0) {
+      ec = http::error::bad_transfer_encoding;
+      return;
+    }
+    collected.head.keep_alive = this->keep_alive();
+    collected.has_head = true;
+  }
+  void on_body_init_impl(const boost::optional<uint64_t>& length,
+                         error_code&) override {
+    if (length) {
+      collected.head.content_length = *length;
+    }
+  }
+  size_t on_body_impl(View body, error_code&) override {
+    collected.body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(uint64_t, View, error_code&) override {}
+  size_t on_chunk_body_impl(uint64_t, View body, error_code&) override {
+    collected.body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(error_code&) override {}
+};
+
+ParseFault FaultOf(const error_code& ec) {
+  if (ec == http::error::header_limit) {
+    return ParseFault::kHeaderTooLarge;
+  }
+  return ec == http::error::body_limit ? ParseFault::kBodyTooLarge
+                                       : ParseFault::kMalformed;
+}
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  for (size_t i = 0; i < left.size(); ++i) {
+    if (Lower(left[i]) != Lower(right[i])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool HasListWord(std::string_view value, std::string_view word) {
+  while (!value.empty()) {
+    size_t comma = value.find(',');
+    if (EqualsIgnoringCase(Trimmed(value.substr(0, comma)), word)) {
+      return true;
+    }
+    value = comma == std::string_view::npos ? std::string_view()
+                                            : value.substr(comma + 1);
+  }
+  return false;
+}
+
+const std::string* MessageHead::Find(std::string_view name) const {
+  for (const HeaderField& field : fields) {
+    if (EqualsIgnoringCase(field.name, name)) {
+      return &field.value;
+    }
+  }
+  return nullptr;
+}
+
+size_t MessageHead::Count(std::string_view name) const {
+  size_t n = 0;
+  for (const HeaderField& field : fields) {
+    n += EqualsIgnoringCase(field.name, name) ? 1 : 0;
+  }
+  return n;
+}
+
+struct MessageParser::Impl {
+  using Request = BeastParser<true>;
+  using Response = BeastParser<false>;
+
+  Kind kind;
+  uint32_t header_limit;
+  uint64_t body_limit;
+  ParseFault fault = ParseFault::kNone;
+  // monostate between messages, so that idle connections hold no parser.
+  std::variant<std::monostate, std::unique_ptr<Request>,
+               std::unique_ptr<Response>>
+      parser;
+
+  void Ensure() {
+    if (parser.index() != 0) {
+      return;
+    }
+    if (kind == Kind::kRequest) {
+      parser = std::make_unique<Request>(header_limit, body_limit);
+    } else {
+      parser = std::make_unique<Response>(header_limit, body_limit);
+    }
+  }
+
+  template <typename Fn>
+  auto With(Fn fn) {
+    Ensure();
+    if (kind == Kind::kRequest) {
+      return fn(*std::get<1>(parser));
+    }
+    return fn(*std::get<2>(parser));
+  }
+};
+
+MessageParser::MessageParser(Kind kind, uint32_t header_limit,
+                             uint64_t body_limit)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->kind = kind;
+  impl_->header_limit = header_limit;
+  impl_->body_limit = body_limit;
+}
+
+MessageParser::~MessageParser() = default;
+
+size_t MessageParser::Feed(std::string_view bytes) {
+  if (impl_->fault != ParseFault::kNone || bytes.empty()) {
+    return 0;
+  }
+  return impl_->With([&](auto& parser) -> size_t {
+    size_t used = 0;
+    while (used < bytes.size() && !parser.is_done()) {
+      error_code ec;
+      size_t n = parser.put(
+          boost::asio::buffer(bytes.data() + used, bytes.size() - used), ec);
+      used += n;
+      if (ec == http::error::need_more) {
+        break;
+      }
+      if (ec) {
+        impl_->fault = FaultOf(ec);
+        break;
+      }
+      if (n == 0) {
+        break;
+      }
+    }
+    return used;
+  });
+}
+
+void MessageParser::FeedEof() {
+  if (impl_->parser.index() == 0) {
+    return;
+  }
+  impl_->With([&](auto& parser) {
+    if (parser.is_done()) {
+      return 0;
+    }
+    error_code ec;
+    parser.put_eof(ec);
+    if (ec) {
+      impl_->fault = ParseFault::kMalformed;
+    }
+    return 0;
+  });
+}
+
+void MessageParser::Reset() {
+  impl_->parser = std::monostate();
+  impl_->fault = ParseFault::kNone;
+}
+
+ParseFault MessageParser::fault() const { return impl_->fault; }
+
+bool MessageParser::has_head() const {
+  return impl_->parser.index() != 0 && impl_->With([](auto& parser) {
+    return parser.collected.has_head;
+  });
+}
+
+bool MessageParser::is_done() const {
+  return impl_->parser.index() != 0 &&
+         impl_->With([](auto& parser) { return parser.is_done(); });
+}
+
+bool MessageParser::ends_with_connection() const {
+  return impl_->With([](auto& parser) { return parser.need_eof(); });
+}
+
+MessageHead& MessageParser::head() {
+  return impl_->With(
+      [](auto& parser) -> MessageHead* { return &parser.collected.head; })[0];
+}
+
+std::string MessageParser::TakeBody() {
+  return impl_->With([](auto& parser) {
+    return std::exchange(parser.collected.body, std::string());
+  });
+}
+
+}  // namespace basilvalve::net
--- /dev/null
+++ b/Source/Core/Net/socket.cc
@@ -0,0 +1,327 @@
+#include "Core/Net/socket.h"
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+#include "Core/Net/asio_parts.h"
+
+namespace basilvalve::net {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+
+namespace {
+
+// Connections waiting to be accepted: as many as a burst of callers opens
+// while the loop is busy.
+constexpr int kBacklog = 1024;
+
+Result<asio::ip::address> ParseAddress(const std::string& host) {
+  error_code ec;
+  auto address = asio::ip::make_address(host, ec);
+  if (ec) {
+    return Fail(ResultCode::kSettingInvalid, "not an address: " + host);
+  }
+  return address;
+}
+
+void TuneStream(tcp::socket* socket, Millis dead_after) {
+  error_code ec;
+  socket->non_blocking(true, ec);
+  socket->set_option(tcp::no_delay(true), ec);
+  // A partition resets nothing: unacknowledged data has to end a connection.
+  int ms = static_cast<int>(dead_after.count());
+  setsockopt(socket->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
+             sizeof(ms));
+}
+
+IoStatus StatusOf(const error_code& ec) {
+  if (ec == asio::error::would_block || ec == asio::error::try_again) {
+    return IoStatus::kBlocked;
+  }
+  return ec == asio::error::eof ? IoStatus::kEof : IoStatus::kReset;
+}
+
+}  // namespace
+
+std::string Endpoint::Text() const { return host + ":" + std::to_string(port); }
+
+Result<Endpoint> Endpoint::Parse(std::string_view text) {
+  size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  if (colon == std::string_view::npos || colon == 0) {
+    return Fail(ResultCode::kSettingInvalid,
+                "not HOST:PORT: " + std::string(text));
+  }
+  endpoint.host = std::string(text.substr(0, colon));
+  std::string_view port = text.substr(colon + 1);
+  auto [end, ec] =
+      std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+  if (ec != std::errc() || end != port.data() + port.size() ||
+      !ParseAddress(endpoint.host)) {
+    return Fail(ResultCode::kSettingInvalid,
+                "not HOST:PORT: " + std::string(text));
+  }
+  return endpoint;
+}
+
+struct Socket::Impl {
+  explicit Impl(tcp::socket socket) : stream(std::move(socket)) {}
+  tcp::socket stream;
+  std::function<void(bool)> on_connect;
+  std::function<void()> on_readable;
+  std::function<void()> on_writable;
+};
+
+namespace {
+
+// Calls a stored callback once, unless the socket was closed meanwhile.
+void Fire(std::function<void()>* stored) {
+  if (!*stored) {
+    return;
+  }
+  auto fn = std::move(*stored);
+  *stored = nullptr;
+  fn();
+}
+
+}  // namespace
+
+Socket::Socket(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Socket::~Socket() { Close(); }
+
+std::unique_ptr<Socket> Socket::Connect(EventLoop* loop, const Endpoint& to,
+                                        Millis dead_after,
+                                        std::function<void(bool)> done) {
+  auto impl = std::make_shared<Impl>(tcp::socket(loop->impl().context));
+  impl->on_connect = std::move(done);
+  auto finish = [impl](bool connected) {
+    if (!impl->on_connect) {
+      return;
+    }
+    auto fn = std::move(impl->on_connect);
+    impl->on_connect = nullptr;
+    fn(connected);
+  };
+  error_code ec;
+  auto address = ParseAddress(to.host);
+  impl->stream.open(tcp::v4(), ec);
+  if (ec || !address) {
+    loop->Post([finish] { finish(false); });
+    return std::make_unique<Socket>(impl);
+  }
+  TuneStream(&impl->stream, dead_after);
+  impl->stream.async_connect(
+      tcp::endpoint(*address, to.port),
+      [finish](const error_code& failed) { finish(!failed); });
+  return std::make_unique<Socket>(impl);
+}
+
+IoResult Socket::Read(std::span<char> into) {
+  error_code ec;
+  size_t n =
+      impl_->stream.read_some(asio::buffer(into.data(), into.size()), ec);
+  if (ec) {
+    return {StatusOf(ec), 0};
+  }
+  return {IoStatus::kDone, n};
+}
+
+IoResult Socket::Write(std::string_view bytes) {
+  error_code ec;
+  size_t n =
+      impl_->stream.write_some(asio::buffer(bytes.data(), bytes.size()), ec);
+  if (ec) {
+    return {StatusOf(ec), 0};
+  }
+  return {IoStatus::kDone, n};
+}
+
+void Socket::WaitReadable(std::function<void()> fn) {
+  bool waiting = static_cast<bool>(impl_->on_readable);
+  impl_->on_readable = std::move(fn);
+  if (waiting) {
+    return;
+  }
+  impl_->stream.async_wait(
+      tcp::socket::wait_read,
+      [impl = impl_](const error_code&) { Fire(&impl->on_readable); });
+}
+
+void Socket::WaitWritable(std::function<void()> fn) {
+  bool waiting = static_cast<bool>(impl_->on_writable);
+  impl_->on_writable = std::move(fn);
+  if (waiting) {
+    return;
+  }
+  impl_->stream.async_wait(
+      tcp::socket::wait_write,
+      [impl = impl_](const error_code&) { Fire(&impl->on_writable); });
+}
+
+void Socket::ShutdownWrite() {
+  error_code ec;
+  impl_->stream.shutdown(tcp::socket::shutdown_send, ec);
+}
+
+void Socket::Close() {
+  impl_->on_connect = nullptr;
+  impl_->on_readable = nullptr;
+  impl_->on_writable = nullptr;
+  error_code ec;
+  impl_->stream.close(ec);
+}
+
+std::string Socket::PeerHost() const {
+  error_code ec;
+  auto endpoint = impl_->stream.remote_endpoint(ec);
+  return ec ? std::string() : endpoint.address().to_string();
+}
+
+struct Listener::Impl : std::enable_shared_from_this<Listener::Impl> {
+  Impl(EventLoop* event_loop, Millis silence)
+      : loop(event_loop),
+        acceptor(event_loop->impl().context),
+        dead_after(silence) {}
+
+  void Accept() {
+    acceptor.async_accept(
+        [self = shared_from_this()](const error_code& ec, tcp::socket socket) {
+          if (!self->accepted) {
+            return;
+          }
+          if (!ec) {
+            TuneStream(&socket, self->dead_after);
+            self->accepted(std::make_unique<Socket>(
+                std::make_shared<Socket::Impl>(std::move(socket))));
+          }
+          self->Accept();
+        });
+  }
+
+  EventLoop* loop;
+  tcp::acceptor acceptor;
+  Millis dead_after;
+  std::function<void(std::unique_ptr<Socket>)> accepted;
+};
+
+Listener::Listener(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+Listener::~Listener() {
+  impl_->accepted = nullptr;
+  error_code ec;
+  impl_->acceptor.close(ec);
+}
+
+Result<std::unique_ptr<Listener>> Listener::Create(
+    EventLoop* loop, const Endpoint& at, Millis dead_after,
+    std::function<void(std::unique_ptr<Socket>)> accepted) {
+  auto address = ParseAddress(at.host);
+  if (!address) {
+    return tl::make_unexpected(address.error());
+  }
+  auto impl = std::make_shared<Impl>(loop, dead_after);
+  impl->accepted = std::move(accepted);
+  error_code ec;
+  impl->acceptor.open(tcp::v4(), ec);
+  impl->acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  impl->acceptor.bind(tcp::endpoint(*address, at.port), ec);
+  if (!ec) {
+    impl->acceptor.listen(kBacklog, ec);
+  }
+  if (ec) {
+    return Fail(ResultCode::kIo,
+                "cannot listen on " + at.Text() + ": " + ec.message());
+  }
+  impl->Accept();
+  return std::unique_ptr<Listener>(new Listener(std::move(impl)));
+}
+
+Endpoint Listener::LocalEndpoint() const {
+  error_code ec;
+  auto endpoint = impl_->acceptor.local_endpoint(ec);
+  return ec ? Endpoint{}
+            : Endpoint{endpoint.address().to_string(), endpoint.port()};
+}
+
+struct DatagramSocket::Impl
+    : std::enable_shared_from_this<DatagramSocket::Impl> {
+  explicit Impl(EventLoop* event_loop)
+      : loop(event_loop), socket(event_loop->impl().context) {}
+
+  void Wait() {
+    socket.async_wait(udp::socket::wait_read,
+                      [self = shared_from_this()](const error_code& ec) {
+                        if (!self->received || ec) {
+                          return;
+                        }
+                        self->ReadAll();
+                        if (self->received) {
+                          self->Wait();
+                        }
+                      });
+  }
+
+  void ReadAll() {
+    udp::endpoint from;
+    error_code ec;
+    while (received) {
+      auto buf = loop->scratch();
+      size_t n = socket.receive_from(asio::buffer(buf.data(), buf.size()), from,
+                                     0, ec);
+      if (ec) {
+        return;
+      }
+      received(std::string_view(buf.data(), n));
+    }
+  }
+
+  EventLoop* loop;
+  udp::socket socket;
+  Received received;
+};
+
+DatagramSocket::DatagramSocket(std::shared_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+DatagramSocket::~DatagramSocket() {
+  impl_->received = nullptr;
+  error_code ec;
+  impl_->socket.close(ec);
+}
+
+Result<std::unique_ptr<DatagramSocket>> DatagramSocket::Create(
+    EventLoop* loop, const Endpoint& at, Received received) {
+  auto address = ParseAddress(at.host);
+  if (!address) {
+    return tl::make_unexpected(address.error());
+  }
+  auto impl = std::make_shared<Impl>(loop);
+  impl->received = std::move(received);
+  error_code ec;
+  impl->socket.open(udp::v4(), ec);
+  impl->socket.non_blocking(true, ec);
+  impl->socket.bind(udp::endpoint(*address, at.port), ec);
+  if (ec) {
+    return Fail(ResultCode::kIo,
+                "cannot bind " + at.Text() + ": " + ec.message());
+  }
+  impl->Wait();
+  return std::unique_ptr<DatagramSocket>(new DatagramSocket(std::move(impl)));
+}
+
+bool DatagramSocket::Send(const Endpoint& to, std::string_view bytes) {
+  error_code ec;
+  auto address = asio::ip::make_address(to.host, ec);
+  if (ec) {
+    return false;
+  }
+  impl_->socket.send_to(asio::buffer(bytes.data(), bytes.size()),
+                        udp::endpoint(address, to.port), 0, ec);
+  return !ec;
+}
+
+}  // namespace basilvalve::net
