Resumed streams stay broken on a failure; prompts copied between engines

Change: another status than 200 after the stream began is a failed attempt. Instances of a region tell each other which prompts they sent where, placement forecasts with what each upstream keeps, and names an upstream to copy the rest from.

--- a/Source/Core/Edge/beat_codec.cc
+++ b/Source/Core/Edge/beat_codec.cc
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 // First element of each datagram; another one is another format.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 flow::LoadShare ReadLoad(const json& row) {
   flow::LoadShare load;
@@ -27,6 +27,16 @@
   return room;
 }
 
+flow::PromptNews ReadNews(const json& row) {
+  flow::PromptNews news;
+  news.upstream = UpstreamId(row.at(0).get<std::string>());
+  for (size_t i = 1; i + 1 < row.size(); i += 2) {
+    news.parts.push_back({row.at(i).get<uint64_t>(),
+                          row.at(i + 1).get<uint32_t>()});
+  }
+  return news;
+}
+
 }  // namespace
 
 std::string EncodeBeat(const flow::Beat& beat) {
@@ -41,11 +51,21 @@
                      static_cast<float>(room.read_tokens_per_ms),
                      static_cast<float>(room.token_pace_us)});
   }
+  json news = json::array();
+  for (const flow::PromptNews& it : beat.news) {
+    json row = {it.upstream.value()};
+    for (const flow::PromptPart& part : it.parts) {
+      row.push_back(part.id);
+      row.push_back(part.tokens);
+    }
+    news.push_back(std::move(row));
+  }
   const flow::InstanceRecord& from = beat.from;
   json row = {kFormat,          from.id.value(),    from.zone.value(),
               from.region.value(), from.front,      from.peer,
               from.incarnation, from.is_draining,   beat.sequence,
-              beat.state_version, std::move(loads), std::move(rooms)};
+              beat.state_version, std::move(loads), std::move(rooms),
+              std::move(news)};
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -73,6 +93,9 @@
     for (const json& it : row.at(11)) {
       beat.rooms[ServiceName(it.at(0).get<std::string>())] = ReadRoom(it);
     }
+    for (const json& it : row.at(12)) {
+      beat.news.push_back(ReadNews(it));
+    }
     return beat;
   } catch (const json::exception&) {
     // Bytes from elsewhere: the caller counts and logs them.
--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -7,6 +7,7 @@
 #include "Core/Common/result.h"
 #include "Core/Flow/upstream.h"
 #include "Core/Net/message.h"
+#include "Core/Net/socket.h"
 
 namespace basilvalve::edge {
 
@@ -28,6 +29,8 @@
   /// 0 is first, 9 last.
   int urgency = 5;
   std::optional<int64_t> resume_after;
+  /// An upstream that keeps pieces of the prompt, to be copied from there.
+  std::optional<net::Endpoint> prompt_source;
 };
 
 /// What an upstream's answer says about the call.
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -279,6 +279,16 @@
       upstream->neighbours[beat->from.id] = {it->second, now};
     }
   }
+  for (const flow::PromptNews& news : beat->news) {
+    registry_.OnNeighbourNews(news, MemoryTokensOf(news.upstream));
+  }
+}
+
+uint64_t EdgeNode::MemoryTokensOf(const UpstreamId& id) const {
+  auto upstream = registry_.Find(id);
+  const flow::ServiceTraits* traits =
+      upstream && state_ ? state_->TraitsOf(upstream->record.service) : nullptr;
+  return traits != nullptr ? traits->memory_tokens : 0;
 }
 
 flow::Beat EdgeNode::MakeBeat(bool with_loads) {
@@ -288,6 +298,9 @@
   beat.sequence = ++beat_sequence_;
   beat.state_version = state_ ? state_->version() : 0;
   std::map<ServiceName, double> unread;
+  if (with_loads) {
+    beat.news = registry_.TakeNews();
+  }
   for (const auto& [id, upstream] : registry_.all()) {
     if (with_loads && upstream->own.running > 0) {
       beat.loads[id] = upstream->own;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -200,12 +200,17 @@
   attempt_.forecast = placement.forecast;
   attempt_.endpoint = {upstream.record.host, upstream.record.port};
   attempt_.share.running = 1;
+  SendTerms terms;
   if (terms_.size.IsModelCall()) {
-    uint32_t kept = upstream.cache.KeptTokens(terms_.size.parts);
-    attempt_.share.unread_tokens =
-        terms_.size.tokens_in > kept ? terms_.size.tokens_in - kept : 0;
+    attempt_.share.unread_tokens = placement.unread_tokens;
     attempt_.share.held_tokens = terms_.size.tokens_in + terms_.size.tokens_out;
-    upstream.cache.Touch(terms_.size.parts, contract_.traits.memory_tokens);
+    parts_->registry->OnPromptSent(upstream, terms_.size.parts,
+                                   contract_.traits.memory_tokens);
+    if (placement.prompt_source) {
+      terms.prompt_source =
+          net::Endpoint{placement.prompt_source->record.host,
+                        placement.prompt_source->record.port};
+    }
   }
   if (upstream.own.running == 0) {
     upstream.heard = now;
@@ -214,7 +219,6 @@
   upstream.last_given = now;
   upstream.breaker.OnStart(now);
   parts_->cold_gate->OnSent(upstream.record.id, now);
-  SendTerms terms;
   terms.expected = upstream.record.id;
   terms.time_left = TimeLeft();
   terms.urgency = std::clamp(3 + 2 * contract_.route->priority, 0, 9);
@@ -450,11 +454,16 @@
     return;
   }
   int status = attempt_.head.status;
+  if (stream_begun_ && status != 200) {
+    // The caller holds part of a stream: another answer cannot end it.
+    OnMayHaveRun("resume_refused");
+    return;
+  }
   if (status >= 500) {
     if (attempt_.upstream && !attempt_.has_first) {
       attempt_.upstream->breaker.OnFailure(parts_->loop->Now());
     }
-    if (IsRepeatable() && !stream_begun_ && TryAgain("upstream_error")) {
+    if (IsRepeatable() && TryAgain("upstream_error")) {
       return;
     }
     // 429 and 503 promise that the call did not run; this one did.
--- a/Source/Core/Flow/desired_state.h
+++ b/Source/Core/Flow/desired_state.h
@@ -68,6 +68,8 @@
   uint32_t batch_slots = 0;
   /// Tokens that fit into a model engine's memory.
   uint64_t memory_tokens = 0;
+  /// Whether engines copy pieces of prompts from each other's memory.
+  bool copies_prompts = false;
   /// Tokens that one event of a stream holds.
   uint32_t tokens_per_event = 1;
 };
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -47,6 +47,8 @@
   /// Its own work at each upstream; only told within the region.
   std::map<UpstreamId, LoadShare> loads;
   std::map<ServiceName, ServiceRoom> rooms;
+  /// Prompts it sent since its last beat; only told within the region.
+  std::vector<PromptNews> news;
 };
 
 /// A region's offer as the freshest of its instances told it.
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -10,6 +10,11 @@
 // Upstreams on which the shared pieces of one prompt are kept: the first takes
 // the calls, the second their overflow.
 constexpr size_t kKeepers = 2;
+// Copying fewer tokens than this is not worth a transfer.
+constexpr uint32_t kLeastFetchTokens = 200;
+// A copied token against a read one: a transfer is short, but it is not free
+// and the source's memory is not certain to hold it still.
+constexpr double kFetchWeight = 0.15;
 // A token's time before any was seen: a step of a half-full batch.
 constexpr double kInitialPaceUs = 8'000;
 // How long a seen pace is trusted.
@@ -54,8 +59,69 @@
 
 }  // namespace
 
+// Where the shared pieces of one prompt are.
+struct Placer::Keeping {
+  /// Upstreams that should keep them when none does, best first.
+  std::vector<const Upstream*> keepers;
+  UpstreamRegistry::Ptr source;
+  uint32_t source_tokens = 0;
+  uint32_t shared_tokens = 0;
+};
+
+Placer::Keeping Placer::WhoKeeps(const PlacementNeed& need) const {
+  Keeping keeping;
+  if (!need.size->IsModelCall()) {
+    return keeping;
+  }
+  const auto& all = registry_->OfService(need.service);
+  keeping.shared_tokens = SharedTokens(*need.size);
+  for (const auto& upstream : all) {
+    if (upstream->is_misplaced) {
+      continue;
+    }
+    uint32_t kept = upstream->cache.KeptTokens(need.size->parts);
+    if (kept > keeping.source_tokens) {
+      keeping.source_tokens = kept;
+      keeping.source = upstream;
+    }
+  }
+  if (keeping.source_tokens < keeping.shared_tokens) {
+    keeping.keepers = KeepersOf(need.size->AffinityKey(), all);
+  }
+  return keeping;
+}
+
+Placement Placer::Consider(const PlacementNeed& need,
+                           const UpstreamRegistry::Ptr& upstream,
+                           const Keeping& keeping, Instant now) const {
+  Placement placement{upstream, {}, 0, nullptr};
+  if (!need.size->IsModelCall()) {
+    placement.forecast = Predict(need, *upstream, 0, now);
+    return placement;
+  }
+  uint32_t tokens_in = need.size->tokens_in;
+  uint32_t kept = upstream->cache.KeptTokens(need.size->parts);
+  double fetched = 0;
+  if (need.traits != nullptr && need.traits->copies_prompts &&
+      keeping.source_tokens >= kept + kLeastFetchTokens) {
+    fetched = keeping.source_tokens - kept;
+    kept = keeping.source_tokens;
+    placement.prompt_source = keeping.source;
+  }
+  placement.unread_tokens = tokens_in > kept ? tokens_in - kept : 0;
+  double unread = placement.unread_tokens + kFetchWeight * fetched;
+  bool is_keeper = std::find(keeping.keepers.begin(), keeping.keepers.end(),
+                             upstream.get()) != keeping.keepers.end();
+  if (is_keeper && kept < keeping.shared_tokens) {
+    // Somebody has to read them; the instances agree on who does.
+    unread -= keeping.shared_tokens - kept;
+  }
+  placement.forecast = Predict(need, *upstream, std::max(0.0, unread), now);
+  return placement;
+}
+
 Forecast Placer::Predict(const PlacementNeed& need, const Upstream& upstream,
-                         uint32_t kept_tokens, Instant now) const {
+                         double unread_tokens, Instant now) const {
   const ServiceProfile& profile = registry_->ProfileOf(need.service);
   LoadShare load = upstream.TotalLoad(now);
   Forecast forecast;
@@ -66,10 +132,8 @@
     forecast.first_byte = forecast.finish = Micros(static_cast<int64_t>(us));
     return forecast;
   }
-  double own = need.size->tokens_in > kept_tokens
-                   ? need.size->tokens_in - kept_tokens
-                   : 0;
-  forecast.tokens_ahead = static_cast<double>(load.unread_tokens) + own;
+  forecast.tokens_ahead =
+      static_cast<double>(load.unread_tokens) + unread_tokens;
   double first = profile.base_us +
                  forecast.tokens_ahead / profile.read_tokens_per_ms * 1000;
   double pace = upstream.token_pace_us > 0 &&
@@ -108,12 +172,7 @@
 std::optional<Placement> Placer::Choose(const PlacementNeed& need,
                                         Instant now) const {
   const auto& all = registry_->OfService(need.service);
-  std::vector<const Upstream*> keepers;
-  uint32_t shared = 0;
-  if (need.size->IsModelCall()) {
-    keepers = KeepersOf(need.size->AffinityKey(), all);
-    shared = SharedTokens(*need.size);
-  }
+  Keeping keeping = WhoKeeps(need);
   std::optional<Placement> best;
   for (const auto& upstream : all) {
     if (!registry_->MayBeSent(*upstream, now) ||
@@ -124,19 +183,14 @@
     if (upstream->IsCold(now) && !cold_gate_(cold_context_, *upstream)) {
       continue;
     }
-    uint32_t kept = upstream->cache.KeptTokens(need.size->parts);
-    bool is_keeper = std::find(keepers.begin(), keepers.end(),
-                               upstream.get()) != keepers.end();
-    if (is_keeper) {
-      kept = std::max(kept, shared);
-    }
-    Forecast forecast = Predict(need, *upstream, kept, now);
+    Placement placement = Consider(need, upstream, keeping, now);
+    const Forecast& forecast = placement.forecast;
     bool is_better =
         !best || forecast.first_byte < best->forecast.first_byte ||
         (forecast.first_byte == best->forecast.first_byte &&
          upstream->last_given < best->upstream->last_given);
     if (is_better) {
-      best = Placement{upstream, forecast};
+      best = std::move(placement);
     }
   }
   return best;
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -31,6 +31,10 @@
 struct Placement {
   UpstreamRegistry::Ptr upstream;
   Forecast forecast;
+  /// Prompt tokens that it has to read for this call.
+  uint32_t unread_tokens = 0;
+  /// An upstream from which it can copy what it lacks; nullptr if none.
+  UpstreamRegistry::Ptr prompt_source;
 };
 
 /// Whether a cold upstream may take one more call from this instance.
@@ -50,8 +54,14 @@
   std::optional<Placement> Choose(const PlacementNeed& need, Instant now) const;
 
  private:
+  struct Keeping;
+
+  Keeping WhoKeeps(const PlacementNeed& need) const;
+  Placement Consider(const PlacementNeed& need,
+                     const UpstreamRegistry::Ptr& upstream,
+                     const Keeping& keeping, Instant now) const;
   Forecast Predict(const PlacementNeed& need, const Upstream& upstream,
-                   uint32_t kept_tokens, Instant now) const;
+                   double unread_tokens, Instant now) const;
   bool HasRoom(const PlacementNeed& need, const Upstream& upstream,
                Instant now) const;
 
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -1,6 +1,7 @@
 #include "Core/Flow/upstream_registry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilvalve::flow {
 namespace {
@@ -16,6 +17,16 @@
 constexpr double kSlowestTokensPerMs = 4;
 constexpr double kFastestTokensPerMs = 400;
 
+// Share of an engine's memory that is thought to keep prompts; running calls
+// hold the rest.
+constexpr double kCacheShare = 0.6;
+// Most news kept between two beats; what is lost costs one more reading.
+constexpr size_t kMostNews = 64;
+
+uint64_t CacheTokens(uint64_t memory_tokens) {
+  return static_cast<uint64_t>(kCacheShare * static_cast<double>(memory_tokens));
+}
+
 }  // namespace
 
 void UpstreamRegistry::Upsert(const UpstreamRecord& record, Instant now) {
@@ -99,6 +110,35 @@
          upstream.breaker.Allows(now);
 }
 
+void UpstreamRegistry::OnPromptSent(Upstream& upstream,
+                                    const std::vector<PromptPart>& parts,
+                                    uint64_t memory_tokens) {
+  if (parts.size() > 1) {
+    // The last piece is the call's own and of no use to others.
+    std::vector<PromptPart> shared(parts.begin(), parts.end() - 1);
+    uint32_t tokens = 0;
+    for (const PromptPart& part : shared) {
+      tokens += part.tokens;
+    }
+    bool is_news = upstream.cache.KeptTokens(shared) < tokens;
+    if (is_news && news_.size() < kMostNews) {
+      news_.push_back({upstream.record.id, std::move(shared)});
+    }
+  }
+  upstream.cache.Touch(parts, CacheTokens(memory_tokens));
+}
+
+void UpstreamRegistry::OnNeighbourNews(const PromptNews& news,
+                                       uint64_t memory_tokens) {
+  if (Ptr upstream = Find(news.upstream)) {
+    upstream->cache.Touch(news.parts, CacheTokens(memory_tokens));
+  }
+}
+
+std::vector<PromptNews> UpstreamRegistry::TakeNews() {
+  return std::exchange(news_, {});
+}
+
 ServiceProfile& UpstreamRegistry::ProfileOf(const ServiceName& service) {
   auto [it, is_new] = profiles_.try_emplace(service);
   if (is_new) {
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -19,6 +19,12 @@
   double base_us = 0;
 };
 
+/// Shared pieces of a prompt that an upstream came to keep.
+struct PromptNews {
+  UpstreamId upstream;
+  std::vector<PromptPart> parts;
+};
+
 /// Holds the upstreams by id. The same object stays while an upstream is
 /// registered, so that calls in hand keep their account. Not thread safe.
 class UpstreamRegistry {
@@ -46,6 +52,13 @@
   const std::map<UpstreamId, Ptr>& all() const { return by_id_; }
   /// Whether a request may be sent to it now, apart from its load.
   bool MayBeSent(const Upstream& upstream, Instant now) const;
+  /// A prompt was sent to the upstream, which then keeps its pieces.
+  void OnPromptSent(Upstream& upstream, const std::vector<PromptPart>& parts,
+                    uint64_t memory_tokens);
+  /// A neighbour sent a prompt with these shared pieces there.
+  void OnNeighbourNews(const PromptNews& news, uint64_t memory_tokens);
+  /// What this instance sent since the last call and neighbours do not know.
+  std::vector<PromptNews> TakeNews();
   /// What was learned of a service; made on first use.
   ServiceProfile& ProfileOf(const ServiceName& service);
   /// A first event came after `took`, with `tokens` to read before it.
@@ -57,6 +70,7 @@
   std::map<ServiceName, std::vector<Ptr>> by_service_;
   std::set<ZoneId> evacuated_;
   std::map<ServiceName, ServiceProfile> profiles_;
+  std::vector<PromptNews> news_;
 };
 
 }  // namespace basilvalve::flow
