Streams that have begun outlive the route's timeout; placement by first byte and end

Change: the timeout bounds waiting for an answer or a stream's beginning; the share of declared output that calls generate is learned; placement weighs first byte and end; Retry-After lies within the objective and is spread.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -203,8 +203,7 @@
   if (const auto* traits = state_->TraitsOf(contract.service)) {
     contract.traits = *traits;
   }
-  contract.time_left = std::min(route->timeout,
-                                terms->patience.value_or(route->timeout));
+  contract.time_left = terms->patience.value_or(route->timeout);
   contract.target_left = route->target;
   contract.route = std::move(route);
   Begin(caller, std::move(request), std::move(*terms), std::move(contract));
@@ -225,6 +224,7 @@
   route->is_resumable = hop->is_resumable;
   route->max_attempts = hop->attempts_left;
   route->priority = hop->priority;
+  route->timeout = hop->answer_left;
   route->target = hop->target_left;
   route->pause_target = hop->pause_target;
   CallContract contract;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -22,8 +22,6 @@
 constexpr Millis kSilence{650};
 // A plain call that may be repeated is moved after this share of its target.
 constexpr double kPlainSilenceShare = 0.6;
-// Weight of one pause in the estimate of an upstream's pace.
-constexpr double kPaceWeight = 0.15;
 // Time for a passed-on call's refusal to come back before its own limit.
 constexpr Millis kHopSlack{60};
 
@@ -80,27 +78,25 @@
       on_ended_(std::move(on_ended)),
       limit_timer_(parts->loop),
       silence_timer_(parts->loop),
-      limit_at_(request_.arrived + contract_.time_left),
+      limit_at_(request_.arrived +
+                std::min(contract_.time_left, contract_.route->timeout)),
+      patience_at_(request_.arrived + contract_.time_left),
       target_at_(request_.arrived + contract_.target_left) {}
 
 Exchange::~Exchange() = default;
 
 Millis Exchange::TimeLeft() const {
-  return std::chrono::floor<Millis>(limit_at_ - parts_->loop->Now());
+  return std::chrono::floor<Millis>((IsStream() ? patience_at_ : limit_at_) -
+                                    parts_->loop->Now());
 }
 
 void Exchange::Start() {
-  std::weak_ptr<Exchange> weak = weak_from_this();
-  caller_->SetGone([weak] {
+  caller_->SetGone([weak = weak_from_this()] {
     if (auto self = weak.lock()) {
       self->OnCallerGone();
     }
   });
-  limit_timer_.Set(limit_at_ - parts_->loop->Now(), [weak] {
-    if (auto self = weak.lock()) {
-      self->OnLimit();
-    }
-  });
+  ArmLimit();
   if (!contract_.is_from_peer) {
     parts_->allowance->OnRequest(contract_.service, parts_->loop->Now());
   }
@@ -117,11 +113,13 @@
       terms_.size.parts.empty() ? 0 : terms_.size.parts.back().tokens;
   input.tokens_out = terms_.size.tokens_out;
   input.to_target = target_at_ - now;
-  input.to_limit = limit_at_ - now;
+  input.to_limit = TimeLeft();
   input.hop = parts_->region_round_trip;
+  input.spread = parts_->random->Unit();
   if (contract_.is_from_peer || route.Permits(parts_->fleet->self().region)) {
     flow::PlacementNeed need{&route, &contract_.traits, contract_.service,
-                             &terms_.size, &tried_};
+                             &terms_.size, &tried_, input.to_target,
+                             input.to_limit};
     *local = parts_->placer->Choose(need, now);
     if (*local) {
       input.local = (*local)->forecast;
@@ -163,6 +161,18 @@
     case flow::DispatchKind::kRefuse:
       break;
   }
+  LogEvent(LogLevel::kInfo, "edge", "no_room")
+      .With("request", terms_.id.value())
+      .With("service", contract_.service.value())
+      .With("tokens_in", terms_.size.tokens_in)
+      .With("first_byte_ms",
+            std::chrono::floor<Millis>(verdict.forecast.first_byte).count())
+      .With("finish_ms",
+            std::chrono::floor<Millis>(verdict.forecast.finish).count())
+      .With("target_left_ms",
+            std::chrono::floor<Millis>(target_at_ - parts_->loop->Now()).count())
+      .With("time_left_ms", TimeLeft().count())
+      .With("retry_after_ms", verdict.retry_after.count());
   if (runs_ > 0) {
     AnswerFailure(502, {}, "no_upstream_left");
     return;
@@ -263,6 +273,7 @@
   hop.attempts_left = std::max(1, route.max_attempts - runs_);
   hop.priority = route.priority;
   hop.time_left = std::max(Millis(1), TimeLeft() - kHopSlack);
+  hop.answer_left = std::chrono::floor<Millis>(limit_at_ - now) - kHopSlack;
   hop.target_left = std::chrono::floor<Millis>(target_at_ - now);
   hop.pause_target = route.pause_target;
   SendTerms terms;
@@ -381,13 +392,7 @@
         static_cast<double>(splitter_.events() - before) *
         std::max(1U, contract_.traits.tokens_per_event);
     double pace = static_cast<double>((now - attempt_.event_at).count()) / tokens;
-    flow::Upstream& upstream = *attempt_.upstream;
-    upstream.token_pace_us =
-        upstream.token_pace_us == 0
-            ? pace
-            : upstream.token_pace_us +
-                  kPaceWeight * (pace - upstream.token_pace_us);
-    upstream.pace_at = now;
+    parts_->registry->LearnPace(*attempt_.upstream, pace, now);
   }
   attempt_.event_at = now;
   if (!stream_begun_) {
@@ -480,6 +485,10 @@
     if (!stream_begun_) {
       BeginStream(attempt_.head);
     }
+    parts_->registry->LearnOutput(
+        contract_.service, terms_.size.tokens_out,
+        static_cast<double>(splitter_.events()) *
+            std::max(1U, contract_.traits.tokens_per_event));
     caller_->Write("0\r\n\r\n");
     caller_->EndAnswer(request_.head.keep_alive);
     Finish("done", status, "streamed");
@@ -608,10 +617,26 @@
   Finish(status == 503 ? "not-run" : "unknown", status, why);
 }
 
+void Exchange::ArmLimit() {
+  limit_timer_.Set(limit_at_ - parts_->loop->Now(), [weak = weak_from_this()] {
+    if (auto self = weak.lock()) {
+      self->OnLimit();
+    }
+  });
+}
+
 void Exchange::OnLimit() {
   if (is_finished_) {
     return;
   }
+  Instant now = parts_->loop->Now();
+  if (stream_begun_ && patience_at_ > now) {
+    // The route's timeout bounds how long a caller is kept waiting; one that
+    // is being answered waits no more.
+    limit_at_ = patience_at_;
+    ArmLimit();
+    return;
+  }
   if (attempt_.is_active && attempt_.upstream && !attempt_.has_first) {
     attempt_.upstream->breaker.OnFailure(parts_->loop->Now());
   }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -19,7 +19,8 @@
   ServiceName service;
   /// Copied: the call outlives the desired state that it came in under.
   flow::ServiceTraits traits;
-  /// Time that the caller and the route leave it, as of its arrival.
+  /// Time that the caller leaves it, as of its arrival; the route's own timeout
+  /// is the route's.
   Millis time_left{0};
   Millis target_left{0};
   /// Whether another instance passed it on: then it runs here or not at all.
@@ -89,6 +90,7 @@
   void OnMayHaveRun(std::string_view why);
   bool TryAgain(std::string_view why);
   void AnswerFailure(int status, Millis retry_after, std::string_view why);
+  void ArmLimit();
   void OnLimit();
   void OnSilence();
   void ArmSilence();
@@ -113,7 +115,10 @@
   flow::EventSplitter splitter_;
   std::set<UpstreamId> tried_;
   std::set<RegionId> tried_regions_;
+  /// Until when there has to be an answer, or the beginning of a stream.
   Instant limit_at_;
+  /// Until when the caller waits.
+  Instant patience_at_;
   Instant target_at_;
   int sends_ = 0;
   /// Sends that may have begun to run.
--- a/Source/Core/Edge/hop_header.cc
+++ b/Source/Core/Edge/hop_header.cc
@@ -9,7 +9,8 @@
   out << terms.service.value() << ' ' << static_cast<int>(terms.kind) << ' '
       << terms.is_resumable << ' ' << terms.attempts_left << ' '
       << terms.priority << ' ' << terms.time_left.count() << ' '
-      << terms.target_left.count() << ' ' << terms.pause_target.count();
+      << terms.answer_left.count() << ' ' << terms.target_left.count() << ' '
+      << terms.pause_target.count();
   return out.str();
 }
 
@@ -18,17 +19,19 @@
   std::string service;
   int kind = 0;
   int64_t time_left = 0;
+  int64_t answer_left = 0;
   int64_t target_left = 0;
   int64_t pause_target = 0;
   HopTerms terms;
   in >> service >> kind >> terms.is_resumable >> terms.attempts_left >>
-      terms.priority >> time_left >> target_left >> pause_target;
+      terms.priority >> time_left >> answer_left >> target_left >> pause_target;
   if (!in || kind < 0 || kind > static_cast<int>(flow::CallKind::kStream)) {
     return std::nullopt;
   }
   terms.service = ServiceName(service);
   terms.kind = static_cast<flow::CallKind>(kind);
   terms.time_left = Millis(time_left);
+  terms.answer_left = Millis(answer_left);
   terms.target_left = Millis(target_left);
   terms.pause_target = Millis(pause_target);
   return terms;
--- a/Source/Core/Edge/hop_header.h
+++ b/Source/Core/Edge/hop_header.h
@@ -25,6 +25,8 @@
   int priority = 0;
   /// As of when it is sent.
   Millis time_left{0};
+  /// Until there has to be an answer or the beginning of a stream.
+  Millis answer_left{0};
   Millis target_left{0};
   Millis pause_target{0};
 };
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -15,8 +15,10 @@
 constexpr double kComfortLimitShare = 0.6;
 // Another region has to be better by this much, against forth and back.
 constexpr double kAwayMargin = 0.8;
-constexpr Millis kShortestRetryAfter{50};
-constexpr Millis kNoUpstreamRetryAfter{500};
+// A refused caller is asked back while an answer can still be in time: after
+// this share of its objective, and up to as much again by its draw.
+constexpr double kRetryTargetShare = 0.3;
+constexpr Micros kLateRetryAfter{Millis(400)};
 
 // A forecast against what the call may take: below 1 it is in time.
 double StrainOf(const Forecast& forecast, const DispatchInput& input,
@@ -42,6 +44,19 @@
   return forecast;
 }
 
+// When there will be room: once the work that is ahead too much has been done.
+Millis RetryAfter(Micros over, const DispatchInput& input) {
+  Micros base = input.to_target > Micros::zero()
+                    ? Micros(static_cast<int64_t>(
+                          kRetryTargetShare *
+                          static_cast<double>(input.to_target.count())))
+                    : kLateRetryAfter;
+  base = std::max(base, over);
+  return std::chrono::ceil<Millis>(
+      base + Micros(static_cast<int64_t>(input.spread *
+                                         static_cast<double>(base.count()))));
+}
+
 }  // namespace
 
 DispatchVerdict Decide(const DispatchInput& input) {
@@ -49,7 +64,7 @@
   if (input.local) {
     local = StrainOf(*input.local, input, kTargetShare, kComfortLimitShare);
     if (*local <= 1) {
-      return {DispatchKind::kLocal, {}, {}};
+      return {DispatchKind::kLocal, {}, {}, *input.local};
     }
   }
   const RegionOffer* best = nullptr;
@@ -67,19 +82,19 @@
   }
   bool is_away = best != nullptr && (!local || away < *local * kAwayMargin);
   if (!is_away && !local) {
-    return {DispatchKind::kRefuse, {}, kNoUpstreamRetryAfter};
+    return {DispatchKind::kRefuse, {}, RetryAfter({}, input), {}};
   }
   const Forecast& chosen = is_away ? best_forecast : *input.local;
   if (input.is_model_call &&
       StrainOf(chosen, input, kRefuseTargetShare, kLimitShare) > 1) {
-    auto over = std::chrono::duration_cast<Millis>(
-        chosen.first_byte - std::max(input.to_target, Micros::zero()));
-    return {DispatchKind::kRefuse, {}, std::max(over, kShortestRetryAfter)};
+    Micros over =
+        chosen.first_byte - std::max(input.to_target, Micros::zero());
+    return {DispatchKind::kRefuse, {}, RetryAfter(over, input), chosen};
   }
   if (is_away) {
-    return {DispatchKind::kRemote, best->region, {}};
+    return {DispatchKind::kRemote, best->region, {}, chosen};
   }
-  return {DispatchKind::kLocal, {}, {}};
+  return {DispatchKind::kLocal, {}, {}, chosen};
 }
 
 }  // namespace basilvalve::flow
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -24,6 +24,9 @@
   std::vector<RegionOffer> offers;
   /// Time there and back to another region.
   Micros hop{0};
+  /// In [0, 1), drawn for this call: callers that are refused together do not
+  /// come back together.
+  double spread = 0;
 };
 
 enum class DispatchKind { kLocal, kRemote, kRefuse };
@@ -34,6 +37,8 @@
   RegionId region;
   /// For kRefuse: when there will be room.
   Millis retry_after{0};
+  /// What the choice was made by; zero if there was none.
+  Forecast forecast;
 };
 
 /// Pure. Thread safe.
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -15,10 +15,11 @@
 // A copied token against a read one: a transfer is short, but it is not free
 // and the source's memory is not certain to hold it still.
 constexpr double kFetchWeight = 0.15;
-// A token's time before any was seen: a step of a half-full batch.
-constexpr double kInitialPaceUs = 8'000;
-// How long a seen pace is trusted.
-constexpr Millis kPaceLifetime{3000};
+// How long an upstream's own pace is trusted; then the service's mean counts.
+constexpr Millis kPaceLifetime{2000};
+// Objectives count at least this much, so that a call that is late already
+// still goes where it is served soonest.
+constexpr Micros kLeastObjective{Millis(100)};
 // Share of an engine's memory that running calls may claim; above it the
 // engine begins to evict running calls.
 constexpr double kMemoryShare = 0.85;
@@ -57,6 +58,17 @@
   return tokens;
 }
 
+// How far a forecast uses up what the call may take: its first byte against
+// the objective, its end against the limit.
+double StrainOn(const PlacementNeed& need, const Forecast& forecast) {
+  auto target = std::max(need.to_target, kLeastObjective);
+  auto limit = std::max(need.to_limit, kLeastObjective);
+  return static_cast<double>(forecast.first_byte.count()) /
+             static_cast<double>(target.count()) +
+         static_cast<double>(forecast.finish.count()) /
+             static_cast<double>(limit.count());
+}
+
 }  // namespace
 
 // Where the shared pieces of one prompt are.
@@ -139,10 +151,11 @@
   double pace = upstream.token_pace_us > 0 &&
                         now - upstream.pace_at < kPaceLifetime
                     ? upstream.token_pace_us
-                    : kInitialPaceUs;
+                    : profile.token_pace_us;
   forecast.first_byte = Micros(static_cast<int64_t>(first));
   forecast.finish =
-      Micros(static_cast<int64_t>(first + pace * need.size->tokens_out));
+      Micros(static_cast<int64_t>(first + pace * profile.output_share *
+                                              need.size->tokens_out));
   return forecast;
 }
 
@@ -174,6 +187,7 @@
   const auto& all = registry_->OfService(need.service);
   Keeping keeping = WhoKeeps(need);
   std::optional<Placement> best;
+  double least_strain = 0;
   for (const auto& upstream : all) {
     if (!registry_->MayBeSent(*upstream, now) ||
         need.tried->contains(upstream->record.id) ||
@@ -184,13 +198,13 @@
       continue;
     }
     Placement placement = Consider(need, upstream, keeping, now);
-    const Forecast& forecast = placement.forecast;
-    bool is_better =
-        !best || forecast.first_byte < best->forecast.first_byte ||
-        (forecast.first_byte == best->forecast.first_byte &&
-         upstream->last_given < best->upstream->last_given);
+    double strain = StrainOn(need, placement.forecast);
+    bool is_better = !best || strain < least_strain ||
+                     (strain == least_strain &&
+                      upstream->last_given < best->upstream->last_given);
     if (is_better) {
       best = std::move(placement);
+      least_strain = strain;
     }
   }
   return best;
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -16,6 +16,9 @@
   const CallSize* size = nullptr;
   /// Upstreams that were tried before.
   const std::set<UpstreamId>* tried = nullptr;
+  /// Time left of the response-time objective and of the limit.
+  Micros to_target{0};
+  Micros to_limit{0};
 };
 
 /// An expectation for one upstream or region.
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -17,6 +17,11 @@
 constexpr double kSlowestTokensPerMs = 4;
 constexpr double kFastestTokensPerMs = 400;
 
+// A token's time before any was seen: a step of a half-full batch.
+constexpr double kInitialPaceUs = 8'000;
+// Weights of one pause in the estimates of an upstream's and a service's pace.
+constexpr double kPaceWeight = 0.2;
+constexpr double kServicePaceWeight = 0.02;
 // Share of an engine's memory that is thought to keep prompts; running calls
 // hold the rest.
 constexpr double kCacheShare = 0.6;
@@ -144,10 +149,29 @@
   if (is_new) {
     it->second.read_tokens_per_ms = kInitialTokensPerMs;
     it->second.base_us = kInitialBaseUs;
+    it->second.token_pace_us = kInitialPaceUs;
   }
   return it->second;
 }
 
+void UpstreamRegistry::LearnPace(Upstream& upstream, double us_per_token,
+                                 Instant now) {
+  double& own = upstream.token_pace_us;
+  own = own == 0 ? us_per_token : own + kPaceWeight * (us_per_token - own);
+  upstream.pace_at = now;
+  double& mean = ProfileOf(upstream.record.service).token_pace_us;
+  mean += kServicePaceWeight * (us_per_token - mean);
+}
+
+void UpstreamRegistry::LearnOutput(const ServiceName& service, double declared,
+                                   double made) {
+  if (declared <= 0) {
+    return;
+  }
+  double& share = ProfileOf(service).output_share;
+  share += kLearnWeight * (std::min(1.0, made / declared) - share);
+}
+
 void UpstreamRegistry::LearnReading(const ServiceName& service, double tokens,
                                     Micros took) {
   ServiceProfile& profile = ProfileOf(service);
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -17,6 +17,10 @@
   double read_tokens_per_ms = 0;
   /// Time to an answer that needs no reading, microseconds.
   double base_us = 0;
+  /// Mean time for one generated token, microseconds.
+  double token_pace_us = 0;
+  /// Share of the output that calls declare which they come to generate.
+  double output_share = 1;
 };
 
 /// Shared pieces of a prompt that an upstream came to keep.
@@ -61,6 +65,10 @@
   std::vector<PromptNews> TakeNews();
   /// What was learned of a service; made on first use.
   ServiceProfile& ProfileOf(const ServiceName& service);
+  /// Events of a stream came `us_per_token` after the one before.
+  void LearnPace(Upstream& upstream, double us_per_token, Instant now);
+  /// A call that declared `declared` tokens of output generated `made`.
+  void LearnOutput(const ServiceName& service, double declared, double made);
   /// A first event came after `took`, with `tokens` to read before it.
   void LearnReading(const ServiceName& service, double tokens, Micros took);
 
