The directory's stand-ins for an empty region are bound by the host's homes

Change: only regions that all routes of the host permit stand in, then the region's own that are about to stop.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -381,25 +381,37 @@
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
 }
 
-std::vector<std::string> EdgeNode::EntriesFor(const RegionId& region) {
+std::vector<std::string> EdgeNode::EntriesFor(const RegionId& region,
+                                              std::string_view host) {
   Instant now = loop_->Now();
   std::vector<std::string> addresses;
-  for (const flow::InstanceRecord& record : fleet_.Entries(region, now)) {
-    addresses.push_back(record.front);
-  }
+  auto add = [&](const std::vector<flow::InstanceRecord>& records) {
+    for (const flow::InstanceRecord& record : records) {
+      addresses.push_back(record.front);
+    }
+  };
+  add(fleet_.Entries(region, now));
   if (!addresses.empty()) {
     return addresses;
   }
-  // The region has lost all: any other serves its callers.
-  std::set<RegionId> regions{settings_.self.region};
+  std::set<RegionId> others{settings_.self.region};
   for (const flow::InstanceRecord& record : fleet_.Others()) {
-    regions.insert(record.region);
+    others.insert(record.region);
   }
-  for (const RegionId& other : regions) {
-    for (const flow::InstanceRecord& record : fleet_.Entries(other, now)) {
-      addresses.push_back(record.front);
+  for (const RegionId& other : others) {
+    if (!state_ || state_->HostPermits(host, other)) {
+      add(fleet_.Entries(other, now));
     }
   }
+  if (!addresses.empty()) {
+    return addresses;
+  }
+  // Nobody who may hold the data is left: the region's own that are about to
+  // stop still answer.
+  add(fleet_.Live(region, now));
+  if (region == settings_.self.region) {
+    addresses.push_back(settings_.self.front);
+  }
   return addresses;
 }
 
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -49,8 +49,10 @@
   /// Whether callers may come: a desired state is in force and no stop was
   /// asked for.
   bool IsReady() const { return state_ != nullptr && !is_draining_; }
-  /// Front addresses for callers of a region, that region's first.
-  std::vector<std::string> EntriesFor(const RegionId& region);
+  /// Front addresses for a region's callers of a host: that region's, or if it
+  /// has none those of regions that may hold the host's data.
+  std::vector<std::string> EntriesFor(const RegionId& region,
+                                      std::string_view host);
   /// Stops in order: callers are told to go elsewhere, calls in hand end, then
   /// `done` is called, at the latest at the end of the grace.
   void BeginDrain(std::function<void()> done);
--- a/Source/Core/Flow/desired_state.cc
+++ b/Source/Core/Flow/desired_state.cc
@@ -63,6 +63,14 @@
   return nullptr;
 }
 
+bool DesiredState::HostPermits(std::string_view host,
+                               const RegionId& region) const {
+  auto it = by_host_.find(std::string(host));
+  return it == by_host_.end() ||
+         std::all_of(it->second.begin(), it->second.end(),
+                     [&](const auto& route) { return route->Permits(region); });
+}
+
 const ServiceTraits* DesiredState::TraitsOf(const ServiceName& service) const {
   auto it = services_.find(service);
   return it == services_.end() ? nullptr : &it->second;
--- a/Source/Core/Flow/desired_state.h
+++ b/Source/Core/Flow/desired_state.h
@@ -99,6 +99,8 @@
   /// nullptr if none does. Thread safe.
   std::shared_ptr<const Route> Match(std::string_view host,
                                      std::string_view path) const;
+  /// Whether every route of the host permits the region. Thread safe.
+  bool HostPermits(std::string_view host, const RegionId& region) const;
   /// Traits of a service, nullptr for an unknown one. Thread safe.
   const ServiceTraits* TraitsOf(const ServiceName& service) const;
 
