Admission minds the pace that every kind of call bears

Reading speed was learned too high (up to 103 tokens/ms) from calls with others' half-read prompts ahead. Change: output is learned by rank, the slowest pace at which each kind still ends bounds admission, less urgent calls first; reading speed is learned only from calls with nothing ahead.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -111,15 +111,24 @@
   input.is_model_call = terms_.size.IsModelCall();
   input.tokens_to_read =
       terms_.size.parts.empty() ? 0 : terms_.size.parts.back().tokens;
-  input.tokens_out = terms_.size.tokens_out;
+  input.rank = route.priority;
   input.to_target = target_at_ - now;
   input.to_limit = TimeLeft();
   input.hop = parts_->region_round_trip;
   input.spread = parts_->random->Unit();
+  if (input.is_model_call) {
+    input.output_tokens =
+        parts_->registry
+            ->KindOf(contract_.service, route.priority, terms_.size.tokens_out,
+                     contract_.time_left)
+            .output_tokens;
+    input.tolerated_pace_us =
+        parts_->registry->ProfileOf(contract_.service).ToleratedPaceUs();
+  }
   if (contract_.is_from_peer || route.Permits(parts_->fleet->self().region)) {
     flow::PlacementNeed need{&route, &contract_.traits, contract_.service,
-                             &terms_.size, &tried_, input.to_target,
-                             input.to_limit};
+                             &terms_.size, &tried_, input.output_tokens,
+                             input.to_target, input.to_limit};
     *local = parts_->placer->Choose(need, now);
     if (*local) {
       input.local = (*local)->forecast;
@@ -167,6 +176,8 @@
       .With("tokens_in", terms_.size.tokens_in)
       .With("first_byte_ms",
             std::chrono::floor<Millis>(verdict.forecast.first_byte).count())
+      .With("pace_percent",
+            static_cast<int64_t>(verdict.forecast.pace_strain * 100))
       .With("finish_ms",
             std::chrono::floor<Millis>(verdict.forecast.finish).count())
       .With("target_left_ms",
@@ -352,9 +363,11 @@
   if (!attempt_.upstream) {
     return;
   }
-  if (terms_.size.IsModelCall()) {
+  // With others' prompts ahead it is not known how much of them was read
+  // before the call came.
+  if (terms_.size.IsModelCall() && attempt_.forecast.tokens_ahead == 0) {
     parts_->registry->LearnReading(contract_.service,
-                                   attempt_.forecast.tokens_ahead,
+                                   attempt_.forecast.own_tokens,
                                    now - attempt_.sent_at);
   }
   attempt_.upstream->own.unread_tokens -= attempt_.share.unread_tokens;
@@ -486,7 +499,7 @@
       BeginStream(attempt_.head);
     }
     parts_->registry->LearnOutput(
-        contract_.service, terms_.size.tokens_out,
+        contract_.service, contract_.route->priority,
         static_cast<double>(splitter_.events()) *
             std::max(1U, contract_.traits.tokens_per_event));
     caller_->Write("0\r\n\r\n");
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -13,6 +13,11 @@
 constexpr double kRefuseTargetShare = 1.0;
 constexpr double kLimitShare = 0.85;
 constexpr double kComfortLimitShare = 0.6;
+// Shares of the tolerated pace: where another region is looked for, where less
+// urgent calls are refused, and where all are.
+constexpr double kComfortPaceShare = 0.6;
+constexpr double kPaceShare = 0.9;
+constexpr double kUrgentPaceShare = 1.2;
 // Another region has to be better by this much, against forth and back.
 constexpr double kAwayMargin = 0.8;
 // A refused caller is asked back while an answer can still be in time: after
@@ -22,13 +27,14 @@
 
 // A forecast against what the call may take: below 1 it is in time.
 double StrainOf(const Forecast& forecast, const DispatchInput& input,
-                double target_share, double limit_share) {
+                double target_share, double limit_share, double pace_share) {
   double target = std::max<double>(
       1000.0, target_share * static_cast<double>(input.to_target.count()));
   double limit = std::max<double>(
       1000.0, limit_share * static_cast<double>(input.to_limit.count()));
-  return std::max(static_cast<double>(forecast.first_byte.count()) / target,
-                  static_cast<double>(forecast.finish.count()) / limit);
+  return std::max({static_cast<double>(forecast.first_byte.count()) / target,
+                   static_cast<double>(forecast.finish.count()) / limit,
+                   forecast.pace_strain / pace_share});
 }
 
 Forecast ForecastAway(const RegionOffer& offer, const DispatchInput& input) {
@@ -40,7 +46,12 @@
                         Micros(static_cast<int64_t>(reading_ms * 1000));
   forecast.finish =
       forecast.first_byte +
-      Micros(static_cast<int64_t>(offer.room.token_pace_us * input.tokens_out));
+      Micros(static_cast<int64_t>(offer.room.token_pace_us *
+                                  input.output_tokens));
+  forecast.pace_strain =
+      input.tolerated_pace_us > 0
+          ? offer.room.token_pace_us / input.tolerated_pace_us
+          : 0;
   return forecast;
 }
 
@@ -62,7 +73,8 @@
 DispatchVerdict Decide(const DispatchInput& input) {
   std::optional<double> local;
   if (input.local) {
-    local = StrainOf(*input.local, input, kTargetShare, kComfortLimitShare);
+    local = StrainOf(*input.local, input, kTargetShare, kComfortLimitShare,
+                     kComfortPaceShare);
     if (*local <= 1) {
       return {DispatchKind::kLocal, {}, {}, *input.local};
     }
@@ -73,7 +85,8 @@
   for (const RegionOffer& offer : input.offers) {
     Forecast forecast = ForecastAway(offer, input);
     double strain =
-        StrainOf(forecast, input, kTargetShare, kComfortLimitShare);
+        StrainOf(forecast, input, kTargetShare, kComfortLimitShare,
+                     kComfortPaceShare);
     if (best == nullptr || strain < away) {
       best = &offer;
       away = strain;
@@ -86,7 +99,8 @@
   }
   const Forecast& chosen = is_away ? best_forecast : *input.local;
   if (input.is_model_call &&
-      StrainOf(chosen, input, kRefuseTargetShare, kLimitShare) > 1) {
+      StrainOf(chosen, input, kRefuseTargetShare, kLimitShare,
+               input.rank == 0 ? kUrgentPaceShare : kPaceShare) > 1) {
     Micros over =
         chosen.first_byte - std::max(input.to_target, Micros::zero());
     return {DispatchKind::kRefuse, {}, RetryAfter(over, input), chosen};
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -13,7 +13,12 @@
   bool is_model_call = false;
   /// Tokens that another region would have to read.
   double tokens_to_read = 0;
-  uint32_t tokens_out = 0;
+  /// Expected output.
+  double output_tokens = 0;
+  /// Rank of the route, 0 is the most urgent.
+  int rank = 0;
+  /// The slowest pace of tokens that every kind of call bears, microseconds.
+  double tolerated_pace_us = 0;
   /// Time left of the response-time objective; may be negative.
   Micros to_target{0};
   /// Time left until the caller's or the route's limit.
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -17,6 +17,8 @@
 constexpr double kFetchWeight = 0.15;
 // How long an upstream's own pace is trusted; then the service's mean counts.
 constexpr Millis kPaceLifetime{2000};
+// A slow pace counts this much when upstreams are compared.
+constexpr double kPaceWeight = 0.5;
 // Objectives count at least this much, so that a call that is late already
 // still goes where it is served soonest.
 constexpr Micros kLeastObjective{Millis(100)};
@@ -66,7 +68,8 @@
   return static_cast<double>(forecast.first_byte.count()) /
              static_cast<double>(target.count()) +
          static_cast<double>(forecast.finish.count()) /
-             static_cast<double>(limit.count());
+             static_cast<double>(limit.count()) +
+         kPaceWeight * forecast.pace_strain;
 }
 
 }  // namespace
@@ -144,18 +147,18 @@
     forecast.first_byte = forecast.finish = Micros(static_cast<int64_t>(us));
     return forecast;
   }
-  forecast.tokens_ahead =
-      static_cast<double>(load.unread_tokens) + unread_tokens;
-  double first = profile.base_us +
-                 forecast.tokens_ahead / profile.read_tokens_per_ms * 1000;
+  forecast.tokens_ahead = static_cast<double>(load.unread_tokens);
+  forecast.own_tokens = unread_tokens;
+  double first = profile.base_us + (forecast.tokens_ahead + unread_tokens) /
+                                       profile.read_tokens_per_ms * 1000;
   double pace = upstream.token_pace_us > 0 &&
                         now - upstream.pace_at < kPaceLifetime
                     ? upstream.token_pace_us
                     : profile.token_pace_us;
   forecast.first_byte = Micros(static_cast<int64_t>(first));
   forecast.finish =
-      Micros(static_cast<int64_t>(first + pace * profile.output_share *
-                                              need.size->tokens_out));
+      Micros(static_cast<int64_t>(first + pace * need.output_tokens));
+  forecast.pace_strain = pace / profile.ToleratedPaceUs();
   return forecast;
 }
 
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -16,6 +16,8 @@
   const CallSize* size = nullptr;
   /// Upstreams that were tried before.
   const std::set<UpstreamId>* tried = nullptr;
+  /// Expected output of the call.
+  double output_tokens = 0;
   /// Time left of the response-time objective and of the limit.
   Micros to_target{0};
   Micros to_limit{0};
@@ -26,8 +28,12 @@
   Micros first_byte{0};
   /// To the end of the whole answer.
   Micros finish{0};
-  /// Prompt tokens to be read before the first event, those of others too.
+  /// Prompt tokens to be read for the call itself.
+  double own_tokens = 0;
+  /// Prompt tokens of others that are read before.
   double tokens_ahead = 0;
+  /// Pace of tokens against the slowest that every kind of call bears.
+  double pace_strain = 0;
 };
 
 /// An upstream with what a call may expect of it.
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -1,6 +1,7 @@
 #include "Core/Flow/upstream_registry.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace basilvalve::flow {
@@ -19,6 +20,11 @@
 
 // A token's time before any was seen: a step of a half-full batch.
 constexpr double kInitialPaceUs = 8'000;
+// Share of the declared output that is expected before a call has ended.
+constexpr double kInitialOutputShare = 0.4;
+// Share of its limit in which a call of mean length has to end, so that longer
+// ones end at all.
+constexpr double kToleratedLimitShare = 0.6;
 // Weights of one pause in the estimates of an upstream's and a service's pace.
 constexpr double kPaceWeight = 0.2;
 constexpr double kServicePaceWeight = 0.02;
@@ -163,13 +169,37 @@
   mean += kServicePaceWeight * (us_per_token - mean);
 }
 
-void UpstreamRegistry::LearnOutput(const ServiceName& service, double declared,
-                                   double made) {
-  if (declared <= 0) {
-    return;
+KindProfile& UpstreamRegistry::KindOf(const ServiceName& service, int rank,
+                                      double declared_tokens, Micros limit) {
+  auto [it, is_new] = ProfileOf(service).kinds.try_emplace(rank);
+  if (is_new) {
+    it->second.output_tokens = kInitialOutputShare * declared_tokens;
+  }
+  it->second.limit = limit;
+  return it->second;
+}
+
+void UpstreamRegistry::LearnOutput(const ServiceName& service, int rank,
+                                   double tokens) {
+  auto& kinds = ProfileOf(service).kinds;
+  auto it = kinds.find(rank);
+  if (it != kinds.end()) {
+    it->second.output_tokens +=
+        kLearnWeight * (tokens - it->second.output_tokens);
+  }
+}
+
+double ServiceProfile::ToleratedPaceUs() const {
+  double tolerated = std::numeric_limits<double>::max();
+  for (const auto& [rank, kind] : kinds) {
+    if (kind.output_tokens > 0) {
+      tolerated = std::min(tolerated,
+                           kToleratedLimitShare *
+                               static_cast<double>(kind.limit.count()) /
+                               kind.output_tokens);
+    }
   }
-  double& share = ProfileOf(service).output_share;
-  share += kLearnWeight * (std::min(1.0, made / declared) - share);
+  return tolerated;
 }
 
 void UpstreamRegistry::LearnReading(const ServiceName& service, double tokens,
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -11,6 +11,15 @@
 
 namespace basilvalve::flow {
 
+/// What was learned of one kind of model calls; routes of the same rank and
+/// service are one kind.
+struct KindProfile {
+  /// Mean output of a call.
+  double output_tokens = 0;
+  /// How long such a call may take.
+  Micros limit{0};
+};
+
 /// What was learned of a service by serving it.
 struct ServiceProfile {
   /// Prompt tokens that one of its engines reads in a millisecond.
@@ -19,8 +28,12 @@
   double base_us = 0;
   /// Mean time for one generated token, microseconds.
   double token_pace_us = 0;
-  /// Share of the output that calls declare which they come to generate.
-  double output_share = 1;
+  /// By rank of the route.
+  std::map<int, KindProfile> kinds;
+
+  /// The slowest pace, microseconds a token, at which calls of every kind still
+  /// end within their limits.
+  double ToleratedPaceUs() const;
 };
 
 /// Shared pieces of a prompt that an upstream came to keep.
@@ -67,8 +80,11 @@
   ServiceProfile& ProfileOf(const ServiceName& service);
   /// Events of a stream came `us_per_token` after the one before.
   void LearnPace(Upstream& upstream, double us_per_token, Instant now);
-  /// A call that declared `declared` tokens of output generated `made`.
-  void LearnOutput(const ServiceName& service, double declared, double made);
+  /// What is known of a kind; made from what a call declares on first use.
+  KindProfile& KindOf(const ServiceName& service, int rank,
+                      double declared_tokens, Micros limit);
+  /// A whole call of the kind generated this many tokens.
+  void LearnOutput(const ServiceName& service, int rank, double tokens);
   /// A first event came after `took`, with `tokens` to read before it.
   void LearnReading(const ServiceName& service, double tokens, Micros took);
 
