--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -222,7 +222,9 @@
   route->name = "passed-on";
   route->kind = hop->kind;
   route->is_resumable = hop->is_resumable;
-  route->max_attempts = hop->attempts_left;
+  // One run for each time it is passed on: the instance that the caller asked
+  // keeps the account of all runs.
+  route->max_attempts = 1;
   route->priority = hop->priority;
   route->timeout = hop->answer_left;
   route->target = hop->target_left;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -283,7 +283,6 @@
   hop.service = contract_.service;
   hop.kind = route.kind;
   hop.is_resumable = route.is_resumable;
-  hop.attempts_left = std::max(1, route.max_attempts - runs_);
   hop.priority = route.priority;
   hop.time_left = std::max(Millis(1), TimeLeft() - kHopSlack);
   hop.answer_left = std::chrono::floor<Millis>(limit_at_ - now) - kHopSlack;
--- a/Source/Core/Edge/hop_header.h
+++ b/Source/Core/Edge/hop_header.h
@@ -21,7 +21,6 @@
   ServiceName service;
   flow::CallKind kind = flow::CallKind::kNonIdempotent;
   bool is_resumable = false;
-  int attempts_left = 1;
   int priority = 0;
   /// As of when it is sent.
   Millis time_left{0};
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -392,6 +392,39 @@
   CHECK(Has(*refused, "Retry-After"));
 }
 
+// Found on a grown day: the instance that a call was passed on to repeated it
+// there, and the one that had passed it on repeated it once more.
+TEST_CASE("a call runs no more often than its route allows, wherever") {
+  EdgeBench near("south");
+  EdgeBench far("north");
+  near.PutStateInForce();
+  far.PutStateInForce();
+  size_t runs = 0;
+  for (const char* id : {"u1", "u2", "u3", "u4"}) {
+    far.AddUpstream(id, [&](const Caller& caller, const Request&) {
+      ++runs;
+      caller->Abort();
+    });
+  }
+  for (const char* region : {"north", "east"}) {
+    flow::Beat beat;
+    beat.from.id = InstanceId(std::string("far-") + region);
+    beat.from.region = RegionId(region);
+    beat.from.peer = far.node->peer_endpoint().Text();
+    beat.from.incarnation = 1;
+    beat.sequence = 1;
+    beat.rooms[ServiceName("service")] = {4, Micros(0), 50, 0};
+    near.node->fleet().OnBeat(beat, near.loop.Now());
+  }
+  auto caller = near.Call(EdgeBench::Request("/again/", "r1"));
+  REQUIRE(near.RunUntil([&] {
+    far.loop.RunUntil([] { return false; }, Millis(2));
+    return Has(*caller, "\r\n\r\n");
+  }));
+  CHECK(Has(*caller, "HTTP/1.1 502"));
+  CHECK(runs == 2);
+}
+
 TEST_CASE("a stop lets calls end, and says where the connection goes") {
   EdgeBench bench;
   bench.PutStateInForce();
@@ -416,7 +449,6 @@
   hop.service = ServiceName("s");
   hop.kind = flow::CallKind::kStream;
   hop.is_resumable = true;
-  hop.attempts_left = 2;
   hop.priority = 3;
   hop.time_left = Millis(1);
   hop.answer_left = Millis(2);
@@ -429,7 +461,7 @@
   CHECK(read->answer_left == Millis(2));
   CHECK(read->target_left == Millis(-3));
   CHECK(read->pause_target == Millis(4));
-  for (const char* bad : {"", "s", "s 9 0 1 0 1 1 1 1", "s x"}) {
+  for (const char* bad : {"", "s", "s 9 0 0 1 1 1 1", "s x"}) {
     CHECK_FALSE(ParseHop(bad));
   }
   flow::Beat beat;
