Load that upstreams report with their answers; short tags in beats

Cause: with 24 instances in a region beats are 0.9 s apart, and each instance sees its neighbours' work late; ids are most of a beat's bytes. Change: the load that comes with an answer counts for 0.4 s where it is more than what is known; beats name upstreams by 32 bits.

--- a/Source/Core/Edge/beat_codec.cc
+++ b/Source/Core/Edge/beat_codec.cc
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 // First element of each datagram; another one is another format.
-constexpr int kFormat = 2;
+constexpr int kFormat = 3;
 
 flow::LoadShare ReadLoad(const json& row) {
   flow::LoadShare load;
@@ -29,7 +29,7 @@
 
 flow::PromptNews ReadNews(const json& row) {
   flow::PromptNews news;
-  news.upstream = UpstreamId(row.at(0).get<std::string>());
+  news.upstream = flow::UpstreamTag32(row.at(0).get<uint64_t>());
   for (size_t i = 1; i + 1 < row.size(); i += 2) {
     news.parts.push_back(
         {row.at(i).get<uint64_t>(), row.at(i + 1).get<uint32_t>()});
@@ -90,7 +90,7 @@
     beat.sequence = row.at(8).get<uint64_t>();
     beat.state_version = row.at(9).get<uint64_t>();
     for (const json& it : row.at(10)) {
-      beat.loads[UpstreamId(it.at(0).get<std::string>())] = ReadLoad(it);
+      beat.loads[flow::UpstreamTag32(it.at(0).get<uint64_t>())] = ReadLoad(it);
     }
     for (const json& it : row.at(11)) {
       beat.rooms[ServiceName(it.at(0).get<std::string>())] = ReadRoom(it);
--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -43,6 +43,8 @@
   bool is_misplaced = false;
   /// Whether the answer carries the upstream's proof and its own body.
   bool is_proven = false;
+  /// Calls that the upstream runs and keeps waiting, if it said.
+  std::optional<flow::ReportedLoad> load;
 };
 
 /// Translates heads; implemented by the platform's adapter. Thread safe.
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -274,7 +274,7 @@
     return;
   }
   for (const auto& [id, upstream] : registry_.all()) {
-    auto it = beat->loads.find(id);
+    auto it = beat->loads.find(flow::TagOf(id));
     if (it == beat->loads.end()) {
       upstream->neighbours.erase(beat->from.id);
     } else {
@@ -286,8 +286,8 @@
   }
 }
 
-uint64_t EdgeNode::MemoryTokensOf(const UpstreamId& id) const {
-  auto upstream = registry_.Find(id);
+uint64_t EdgeNode::MemoryTokensOf(flow::UpstreamTag32 tag) const {
+  auto upstream = registry_.Find(tag);
   const flow::ServiceTraits* traits =
       upstream && state_ ? state_->TraitsOf(upstream->record.service) : nullptr;
   return traits != nullptr ? traits->memory_tokens : 0;
@@ -305,14 +305,14 @@
   }
   for (const auto& [id, upstream] : registry_.all()) {
     if (with_loads && upstream->own.running > 0) {
-      beat.loads[id] = upstream->own;
+      beat.loads[flow::TagOf(id)] = upstream->own;
     }
     if (!registry_.MayBeSent(*upstream, now) || upstream->IsCold(now)) {
       continue;
     }
     flow::ServiceRoom& room = beat.rooms[upstream->record.service];
     unread[upstream->record.service] +=
-        static_cast<double>(upstream->TotalLoad(now).unread_tokens);
+        static_cast<double>(registry_.LoadOf(*upstream, now).unread_tokens);
     room.token_pace_us += upstream->token_pace_us;
     ++room.upstreams;
   }
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -77,7 +77,7 @@
               std::string_view why);
   void OnDatagram(std::string_view bytes);
   void SendBeats();
-  uint64_t MemoryTokensOf(const UpstreamId& id) const;
+  uint64_t MemoryTokensOf(flow::UpstreamTag32 tag) const;
   flow::Beat MakeBeat(bool with_loads);
   void Sweep();
   void CheckDrained();
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -229,6 +229,7 @@
     attempt_.share.unread_tokens = placement.unread_tokens;
     attempt_.share.held_tokens = terms_.size.tokens_in + terms_.size.tokens_out;
     parts_->registry->OnPromptSent(upstream, terms_.size.parts,
+                                   placement.unread_tokens,
                                    contract_.traits.memory_tokens);
     if (placement.prompt_source) {
       terms.prompt_source = net::Endpoint{placement.prompt_source->record.host,
@@ -342,6 +343,10 @@
   attempt_.event_at = now;
   if (attempt_.upstream) {
     attempt_.upstream->heard = now;
+    if (answer.load) {
+      attempt_.upstream->reported = answer.load;
+      attempt_.upstream->reported->at = now;
+    }
   }
   if (answer.not_executed) {
     attempt_.is_refusal = true;
--- a/Source/Core/Edge/hop_header.cc
+++ b/Source/Core/Edge/hop_header.cc
@@ -7,9 +7,9 @@
 std::string FormatHop(const HopTerms& terms) {
   std::ostringstream out;
   out << terms.service.value() << ' ' << static_cast<int>(terms.kind) << ' '
-      << terms.is_resumable << ' ' << terms.priority << ' ' << terms.time_left.count() << ' '
-      << terms.answer_left.count() << ' ' << terms.target_left.count() << ' '
-      << terms.pause_target.count();
+      << terms.is_resumable << ' ' << terms.priority << ' '
+      << terms.time_left.count() << ' ' << terms.answer_left.count() << ' '
+      << terms.target_left.count() << ' ' << terms.pause_target.count();
   return out.str();
 }
 
@@ -22,8 +22,8 @@
   int64_t target_left = 0;
   int64_t pause_target = 0;
   HopTerms terms;
-  in >> service >> kind >> terms.is_resumable >>
-      terms.priority >> time_left >> answer_left >> target_left >> pause_target;
+  in >> service >> kind >> terms.is_resumable >> terms.priority >> time_left >>
+      answer_left >> target_left >> pause_target;
   if (!in || kind < 0 || kind > static_cast<int>(flow::CallKind::kStream)) {
     return std::nullopt;
   }
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -45,7 +45,7 @@
   /// Version of the desired state that it has in force.
   uint64_t state_version = 0;
   /// Its own work at each upstream; only told within the region.
-  std::map<UpstreamId, LoadShare> loads;
+  std::map<UpstreamTag32, LoadShare> loads;
   std::map<ServiceName, ServiceRoom> rooms;
   /// Prompts it sent since its last beat; only told within the region.
   std::vector<PromptNews> news;
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -138,7 +138,7 @@
 Forecast Placer::Predict(const PlacementNeed& need, const Upstream& upstream,
                          double unread_tokens, Instant now) const {
   const ServiceProfile& profile = registry_->ProfileOf(need.service);
-  LoadShare load = upstream.TotalLoad(now);
+  LoadShare load = registry_->LoadOf(upstream, now);
   Forecast forecast;
   if (!need.size->IsModelCall()) {
     double slots = std::max(1U, upstream.record.slots);
@@ -164,7 +164,7 @@
 
 bool Placer::HasRoom(const PlacementNeed& need, const Upstream& upstream,
                      Instant now) const {
-  LoadShare load = upstream.TotalLoad(now);
+  LoadShare load = registry_->LoadOf(upstream, now);
   if (!need.size->IsModelCall()) {
     // Half as many again as it runs at once may wait there.
     return load.running < upstream.record.slots + upstream.record.slots / 2 + 1;
--- a/Source/Core/Flow/upstream.cc
+++ b/Source/Core/Flow/upstream.cc
@@ -1,5 +1,7 @@
 #include "Core/Flow/upstream.h"
 
+#include <algorithm>
+
 #include "Core/Common/hash.h"
 
 namespace basilvalve::flow {
@@ -9,6 +11,9 @@
 // for a first token.
 constexpr Millis kToldLifetime{2500};
 
+// A queue that was reported is worked off within this time.
+constexpr Millis kReportLifetime{400};
+
 // Failures open the breaker at once for a short time: a call that finds the
 // upstream well again closes it, and the neighbours carry the load meanwhile.
 constexpr admission::BreakerSettings kBreaker{
@@ -20,6 +25,10 @@
 
 }  // namespace
 
+UpstreamTag32 TagOf(const UpstreamId& id) {
+  return UpstreamTag32(Hash64(id.value()) & 0xffffffff);
+}
+
 uint64_t CallSize::AffinityKey() const {
   if (parts.empty()) {
     return 0;
@@ -82,13 +91,20 @@
 Upstream::Upstream(UpstreamRecord registered)
     : record(std::move(registered)), breaker(kBreaker) {}
 
-LoadShare Upstream::TotalLoad(Instant now) const {
+LoadShare Upstream::TotalLoad(Instant now, double mean_unread) const {
   LoadShare total = own;
   for (const auto& [instance, told] : neighbours) {
     if (now - told.at < kToldLifetime) {
       total.Add(told.share);
     }
   }
+  if (reported && now - reported->at < kReportLifetime) {
+    total.running =
+        std::max(total.running, reported->running + reported->waiting);
+    total.unread_tokens =
+        std::max(total.unread_tokens,
+                 static_cast<uint64_t>(mean_unread * reported->waiting));
+  }
   return total;
 }
 
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,6 +16,12 @@
 
 namespace basilvalve::flow {
 
+/// Short form of an upstream's id between instances; 32 bits keep a region's
+/// upstreams apart, and a clash only blurs an estimate.
+using UpstreamTag32 = StrongNumber<struct UpstreamTag32Tag>;
+/// Thread safe.
+UpstreamTag32 TagOf(const UpstreamId& id);
+
 /// What an upstream registered about itself.
 struct UpstreamRecord {
   UpstreamId id;
@@ -60,6 +67,13 @@
   void Add(const LoadShare& other);
 };
 
+/// What an upstream last said of itself with an answer.
+struct ReportedLoad {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  Instant at;
+};
+
 /// Which prompt pieces an upstream keeps, least recently used first out. An
 /// estimate from what this instance sent. Not thread safe.
 class PromptCacheView {
@@ -99,6 +113,7 @@
     Instant at;
   };
   std::map<InstanceId, Told> neighbours;
+  std::optional<ReportedLoad> reported;
   admission::Breaker breaker;
   PromptCacheView cache;
   /// Time for one generated token, from the pauses between events; 0 until
@@ -111,7 +126,9 @@
   Instant last_given;
 
   /// Own and neighbours' work; what a neighbour told long ago does not count.
-  LoadShare TotalLoad(Instant now) const;
+  /// A fresh report of more calls, waiting ones with `mean_unread` tokens each,
+  /// goes before.
+  LoadShare TotalLoad(Instant now, double mean_unread) const;
   bool IsCold(Instant now) const { return now < cold_until; }
 };
 
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -56,6 +56,7 @@
   if (it == by_id_.end()) {
     auto upstream = std::make_shared<Upstream>(record);
     by_service_[record.service].push_back(upstream);
+    by_tag_[TagOf(record.id)] = upstream;
     it = by_id_.emplace(record.id, std::move(upstream)).first;
   }
   Upstream& upstream = *it->second;
@@ -78,6 +79,7 @@
   it->second->is_gone = true;
   auto& list = by_service_[it->second->record.service];
   list.erase(std::remove(list.begin(), list.end(), it->second), list.end());
+  by_tag_.erase(TagOf(id));
   by_id_.erase(it);
 }
 
@@ -115,6 +117,18 @@
   return it == by_id_.end() ? nullptr : it->second;
 }
 
+UpstreamRegistry::Ptr UpstreamRegistry::Find(UpstreamTag32 tag) const {
+  auto it = by_tag_.find(tag);
+  return it == by_tag_.end() ? nullptr : it->second;
+}
+
+LoadShare UpstreamRegistry::LoadOf(const Upstream& upstream,
+                                   Instant now) const {
+  auto it = profiles_.find(upstream.record.service);
+  return upstream.TotalLoad(
+      now, it == profiles_.end() ? 0 : it->second.mean_unread_tokens);
+}
+
 bool UpstreamRegistry::MayBeSent(const Upstream& upstream, Instant now) const {
   return !upstream.is_gone && !upstream.is_misplaced &&
          !upstream.record.is_draining &&
@@ -124,7 +138,10 @@
 
 void UpstreamRegistry::OnPromptSent(Upstream& upstream,
                                     const std::vector<PromptPart>& parts,
+                                    uint32_t unread_tokens,
                                     uint64_t memory_tokens) {
+  double& mean = ProfileOf(upstream.record.service).mean_unread_tokens;
+  mean += kLearnWeight * (unread_tokens - mean);
   if (parts.size() > 1) {
     // The last piece is the call's own and of no use to others.
     std::vector<PromptPart> shared(parts.begin(), parts.end() - 1);
@@ -134,7 +151,7 @@
     }
     bool is_news = upstream.cache.KeptTokens(shared) < tokens;
     if (is_news && news_.size() < kMostNews) {
-      news_.push_back({upstream.record.id, std::move(shared)});
+      news_.push_back({TagOf(upstream.record.id), std::move(shared)});
     }
   }
   upstream.cache.Touch(parts, CacheTokens(memory_tokens));
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -26,6 +26,8 @@
   double read_tokens_per_ms = 0;
   /// Time to an answer that needs no reading, microseconds.
   double base_us = 0;
+  /// Mean prompt tokens that a call has to read.
+  double mean_unread_tokens = 0;
   /// Mean time for one generated token, microseconds.
   double token_pace_us = 0;
   /// By rank of the route.
@@ -38,7 +40,7 @@
 
 /// Shared pieces of a prompt that an upstream came to keep.
 struct PromptNews {
-  UpstreamId upstream;
+  UpstreamTag32 upstream;
   std::vector<PromptPart> parts;
 };
 
@@ -65,13 +67,17 @@
   const std::vector<Ptr>& OfService(const ServiceName& service) const;
   /// The upstream with the id, nullptr if it is not registered here.
   Ptr Find(const UpstreamId& id) const;
+  /// The same by its short form.
+  Ptr Find(UpstreamTag32 tag) const;
   /// All upstreams of this region.
   const std::map<UpstreamId, Ptr>& all() const { return by_id_; }
   /// Whether a request may be sent to it now, apart from its load.
   bool MayBeSent(const Upstream& upstream, Instant now) const;
   /// A prompt was sent to the upstream, which then keeps its pieces.
   void OnPromptSent(Upstream& upstream, const std::vector<PromptPart>& parts,
-                    uint64_t memory_tokens);
+                    uint32_t unread_tokens, uint64_t memory_tokens);
+  /// Own, neighbours' and reported work of an upstream.
+  LoadShare LoadOf(const Upstream& upstream, Instant now) const;
   /// A neighbour sent a prompt with these shared pieces there.
   void OnNeighbourNews(const PromptNews& news, uint64_t memory_tokens);
   /// What this instance sent since the last call and neighbours do not know.
@@ -91,6 +97,7 @@
  private:
   RegionId own_region_;
   std::map<UpstreamId, Ptr> by_id_;
+  std::map<UpstreamTag32, Ptr> by_tag_;
   std::map<ServiceName, std::vector<Ptr>> by_service_;
   std::set<ZoneId> evacuated_;
   std::map<ServiceName, ServiceProfile> profiles_;
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -468,8 +468,8 @@
   beat.from.id = InstanceId("i");
   beat.from.region = RegionId("r");
   beat.sequence = 7;
-  beat.loads[UpstreamId("u")] = {1, 2, 3};
-  beat.news.push_back({UpstreamId("u"), {{1, 2}, {3, 4}}});
+  beat.loads[flow::TagOf(UpstreamId("u"))] = {1, 2, 3};
+  beat.news.push_back({flow::TagOf(UpstreamId("u")), {{1, 2}, {3, 4}}});
   auto decoded = DecodeBeat(EncodeBeat(beat));
   REQUIRE(decoded);
   CHECK(EncodeBeat(*decoded) == EncodeBeat(beat));
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -298,7 +298,7 @@
   Bench bench;
   UpstreamRecord record = bench.Add("u1");
   auto upstream = bench.registry.Find(record.id);
-  bench.registry.OnPromptSent(*upstream, bench.size.parts, 100'000);
+  bench.registry.OnPromptSent(*upstream, bench.size.parts, 6000, 100'000);
   CHECK(upstream->cache.KeptTokens(bench.size.parts) == 6000);
   record.born = 77;
   bench.registry.Upsert(record, kStart);
@@ -310,7 +310,7 @@
   bench.Add("u1");
   bench.Add("u2");
   auto keeper = bench.registry.Find(UpstreamId("u2"));
-  bench.registry.OnPromptSent(*keeper, bench.size.parts, 100'000);
+  bench.registry.OnPromptSent(*keeper, bench.size.parts, 6000, 100'000);
   bench.size.parts.back().id = 3;
   auto placement = bench.Choose();
   REQUIRE(placement);
--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -191,6 +191,22 @@
   }
 }
 
+TEST_CASE("an upstream's load comes with its answers") {
+  WireDialect dialect;
+  auto load = [&](const char* text) {
+    return dialect
+        .ReadAnswer(HeadOf({{"X-Server-Load", text}}, 200), RequestId("r"))
+        .load;
+  };
+  REQUIRE(load("3,1,8"));
+  CHECK(load("3,1,8")->running == 3);
+  CHECK(load("3,1,8")->waiting == 1);
+  for (const char* bad : {"", "3", "3,1", "a,1,8", "3,,8"}) {
+    INFO(bad);
+    CHECK_FALSE(load(bad));
+  }
+}
+
 // An instance with its feed and registration on a stand-in of the store.
 struct FeedBench {
   net::EventLoop loop;
