Logs go to standard output in pieces, bounded, one line for each call

Cause: lines went to standard error one write each, and only failed calls had one; a reader that stops would have blocked the loop. Change: a sink that collects, never blocks and counts what is above its rate; every call ends with a line that has the version of the desired state.

--- a/Source/Core/Common/log.cc
+++ b/Source/Core/Common/log.cc
@@ -2,9 +2,12 @@
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <array>
 
+#include "Core/Common/bounded_log_sink.h"
+
 namespace basilvalve {
 namespace {
 
@@ -15,6 +18,11 @@
   return kLevels[static_cast<size_t>(level)];
 }
 
+constexpr const char* kPattern = "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v";
+// Twice the calls that an instance takes at the two-year peak, 34 a second,
+// with some lines each; above it lines are counted.
+constexpr uint32_t kBoundedLinesPerSecond = 300;
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
          value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
@@ -54,9 +62,20 @@
   return *this;
 }
 
+void InitBoundedLogging(LogLevel level) {
+  auto sink =
+      std::make_shared<BoundedLogSink>(STDOUT_FILENO, kBoundedLinesPerSecond);
+  auto logger = std::make_shared<spdlog::logger>("basilvalve", sink);
+  logger->set_pattern(kPattern);
+  logger->set_level(SpdlogLevel(level));
+  spdlog::set_default_logger(logger);
+}
+
+void FlushLog() { spdlog::default_logger_raw()->flush(); }
+
 void InitLogging(LogLevel level) {
   auto logger = spdlog::stderr_logger_mt("basilvalve");
-  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+  logger->set_pattern(kPattern);
   logger->set_level(SpdlogLevel(level));
   spdlog::set_default_logger(logger);
 }
--- a/Source/Core/Common/log.h
+++ b/Source/Core/Common/log.h
@@ -29,6 +29,14 @@
   std::string line_;
 };
 
+/// Sends log lines of at least this level to standard output, in pieces,
+/// bounded and without ever blocking; FlushLog writes what has come together.
+/// For a process with one thread. Call once, at start.
+void InitBoundedLogging(LogLevel level);
+
+/// Writes out what a bounded log holds. Not thread safe.
+void FlushLog();
+
 /// Sends log lines of at least this level to standard error. Call once, at
 /// start.
 void InitLogging(LogLevel level);
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -205,6 +205,7 @@
   }
   contract.time_left = terms->patience.value_or(route->timeout);
   contract.target_left = route->target;
+  contract.state_version = state_->version();
   contract.route = std::move(route);
   Begin(caller, std::move(request), std::move(*terms), std::move(contract));
 }
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -752,10 +752,10 @@
   Instant now = parts_->loop->Now();
   parts_->metrics->CountCall(outcome, status);
   parts_->metrics->ObserveWhole(now - request_.arrived);
-  bool is_good = outcome == "done" && status < 500;
-  LogEvent(is_good ? LogLevel::kDebug : LogLevel::kInfo, "edge", "call_ended")
+  LogEvent(LogLevel::kInfo, "edge", "call_ended")
       .With("request", terms_.id.value())
       .With("route", contract_.route->name)
+      .With("state_version", static_cast<int64_t>(contract_.state_version))
       .With("outcome", outcome)
       .With("status", status)
       .With("why", why)
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -17,6 +17,8 @@
 struct CallContract {
   std::shared_ptr<const flow::Route> route;
   ServiceName service;
+  /// Version of the desired state that the route is from; 0 from a peer.
+  uint64_t state_version = 0;
   /// Copied: the call outlives the desired state that it came in under.
   flow::ServiceTraits traits;
   /// Time that the caller leaves it, as of its arrival; the route's own timeout
--- /dev/null
+++ b/Source/UnitTests/Core/Common/bounded_log_sink_test.cc
@@ -0,0 +1,71 @@
+#include "Core/Common/bounded_log_sink.h"
+
+#include <fcntl.h>
+#include <spdlog/logger.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+
+namespace basilvalve {
+namespace {
+
+struct Pipe {
+  int ends[2] = {-1, -1};
+  Pipe() { REQUIRE(pipe(ends) == 0); }
+  ~Pipe() {
+    close(ends[0]);
+    close(ends[1]);
+  }
+  std::string ReadAll() {
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    std::array<char, 4096> buf;
+    ssize_t n = 0;
+    while ((n = read(ends[0], buf.data(), buf.size())) > 0) {
+      text.append(buf.data(), static_cast<size_t>(n));
+    }
+    return text;
+  }
+};
+
+// A line of a given second, so that the rate does not depend on the clock.
+void Log(BoundedLogSink* sink, spdlog::level::level_enum level, int second,
+         const std::string& text) {
+  spdlog::details::log_msg msg(
+      spdlog::log_clock::time_point(std::chrono::seconds(second)),
+      spdlog::source_loc(), "test", level, text);
+  sink->log(msg);
+}
+
+TEST_CASE("lines above the rate are counted, warnings are not bounded by it") {
+  Pipe pipe;
+  BoundedLogSink sink(pipe.ends[1], 10);
+  sink.set_pattern("%v");
+  for (int i = 0; i < 25; ++i) {
+    Log(&sink, spdlog::level::info, 1, "line");
+  }
+  Log(&sink, spdlog::level::warn, 1, "warning");
+  Log(&sink, spdlog::level::info, 2, "next");
+  sink.flush();
+  std::string text = pipe.ReadAll();
+  CHECK(std::count(text.begin(), text.end(), '\n') == 13);
+  CHECK(text.find("event=suppressed lines=15") != std::string::npos);
+  CHECK(text.find("warning") != std::string::npos);
+  CHECK(text.find("next") != std::string::npos);
+  CHECK(sink.suppressed() == 15);
+}
+
+TEST_CASE("a reader that does not read blocks nobody") {
+  Pipe pipe;
+  BoundedLogSink sink(pipe.ends[1], 1'000'000);
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    Log(&sink, spdlog::level::info, 1, line);
+  }
+  CHECK(sink.suppressed() > 1000);
+}
+
+}  // namespace
+}  // namespace basilvalve
