An instance says when it stood still; lint

Change: a timer that comes over a second late is a line with the time and the calls in hand; findings of the linter.

--- a/Source/Core/Common/bounded_log_sink.cc
+++ b/Source/Core/Common/bounded_log_sink.cc
@@ -10,9 +10,9 @@
 namespace {
 
 // Written at once when this much has come together; a pipe takes 64 KB.
-constexpr size_t kPieceBytes = 8 * 1024;
+constexpr size_t kPieceBytes = size_t{8} * 1024;
 // Held for a reader that does not keep up.
-constexpr size_t kMostBytes = 256 * 1024;
+constexpr size_t kMostBytes = size_t{256} * 1024;
 
 }  // namespace
 
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -19,6 +19,8 @@
 constexpr Millis kFarGap{25};
 constexpr Millis kFarInterval{400};
 constexpr Millis kSweepInterval{500};
+// A timer that comes this late means that the machine stood still.
+constexpr Millis kStall{1000};
 // After the request to stop: callers have heard of it from the directory
 // (answers live at most 2 s), then idle connections are closed.
 constexpr Millis kCloseIdleAfter{2500};
@@ -377,7 +379,19 @@
   beat_timer_.Set(interval, [this] { SendBeats(); });
 }
 
+void EdgeNode::NoteStall() {
+  Instant now = loop_->Now();
+  Micros late = now - swept_at_ - kSweepInterval;
+  if (swept_at_ != Instant() && late > kStall) {
+    LogEvent(LogLevel::kWarn, "edge", "stood_still")
+        .With("for_ms", std::chrono::floor<Millis>(late).count())
+        .With("calls", static_cast<int64_t>(exchanges_.size()));
+  }
+  swept_at_ = now;
+}
+
 void EdgeNode::Sweep() {
+  NoteStall();
   upstream_pool_.Sweep();
   peer_pool_.Sweep();
   fleet_.Sweep(loop_->Now());
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -79,6 +79,7 @@
   void SendBeats();
   uint64_t MemoryTokensOf(flow::UpstreamTag32 tag) const;
   flow::Beat MakeBeat(bool with_loads);
+  void NoteStall();
   void Sweep();
   void CheckDrained();
   static bool ColdGateThunk(void* context, const flow::Upstream& upstream);
@@ -108,6 +109,7 @@
   uint64_t beat_sequence_ = 0;
   size_t far_turn_ = 0;
   Instant far_sent_at_;
+  Instant swept_at_;
   bool is_draining_ = false;
   bool idle_closed_ = false;
   Instant drain_began_;
--- a/Source/Core/Flow/event_splitter.cc
+++ b/Source/Core/Flow/event_splitter.cc
@@ -26,11 +26,12 @@
 
 std::string EventSplitter::Feed(std::string_view bytes) {
   partial_.append(bytes);
-  size_t whole = 0;
-  while (size_t n = EventEnd(std::string_view(partial_).substr(whole))) {
-    Inspect(std::string_view(partial_).substr(whole, n));
-    whole += n;
+  std::string_view rest = partial_;
+  for (size_t n = EventEnd(rest); n > 0; n = EventEnd(rest)) {
+    Inspect(rest.substr(0, n));
+    rest.remove_prefix(n);
   }
+  size_t whole = partial_.size() - rest.size();
   std::string events = partial_.substr(0, whole);
   partial_.erase(0, whole);
   return events;
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -43,7 +43,7 @@
     }
   }
   size_t n = std::min(kKeepers, ranked.size());
-  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<long>(n),
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
                     ranked.end(),
                     [key](const Upstream* left, const Upstream* right) {
                       return Rank(key, *left) > Rank(key, *right);
--- a/Source/Core/Net/event_loop.cc
+++ b/Source/Core/Net/event_loop.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // One read takes at most this much: some pieces of a full socket buffer.
-constexpr size_t kScratchBytes = 64 * 1024;
+constexpr size_t kScratchBytes = size_t{64} * 1024;
 
 void WaitForSignal(boost::asio::signal_set* signals,
                    const std::function<void(int)>& fn) {
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -4,9 +4,9 @@
 namespace {
 
 // Bytes of later requests kept while one is handled; more wait in the kernel.
-constexpr size_t kPipelineBytes = 32 * 1024;
+constexpr size_t kPipelineBytes = size_t{32} * 1024;
 // An answer's source pauses above this much unwritten data.
-constexpr size_t kClogBytes = 128 * 1024;
+constexpr size_t kClogBytes = size_t{128} * 1024;
 // How long the other side may take to close after we have: a round trip
 // between regions with one loss.
 constexpr Millis kLingerTime{1000};
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -14,7 +14,7 @@
 /// What a caller may send and how long it may take.
 struct ServerLimits {
   uint32_t header_bytes = 16 * 1024;
-  uint64_t body_bytes = 4 * 1024 * 1024;
+  uint64_t body_bytes = uint64_t{4} * 1024 * 1024;
   Millis header_timeout{3000};
   Millis idle_timeout{15000};
 };
