--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -43,11 +43,11 @@
     }
   }
   size_t n = std::min(kKeepers, ranked.size());
-  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
-                    ranked.end(),
-                    [key](const Upstream* left, const Upstream* right) {
-                      return Rank(key, *left) > Rank(key, *right);
-                    });
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
+      ranked.end(), [key](const Upstream* left, const Upstream* right) {
+        return Rank(key, *left) > Rank(key, *right);
+      });
   ranked.resize(n);
   return ranked;
 }
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -79,7 +79,7 @@
   }
   size_t written = 0;
   while (written < unwritten_.size()) {
-    IoResult put = socket_->Write(std::string_view(unwritten_).substr(written));
+    IoResult put = socket_->Write(std::string_view{unwritten_}.substr(written));
     if (put.status == IoStatus::kBlocked) {
       waiting_write_ = true;
       socket_->WaitWritable([weak = weak_from_this()] {
--- a/Source/Core/Net/event_loop.cc
+++ b/Source/Core/Net/event_loop.cc
@@ -58,8 +58,8 @@
   boost::asio::post(impl_->context, std::move(fn));
 }
 
-void EventLoop::OnSignal(std::vector<int> signals,
-                         std::function<void(int)> fn) {
+void EventLoop::OnSignal(const std::vector<int>& signals,
+                         const std::function<void(int)>& fn) {
   impl_->signals = std::make_unique<boost::asio::signal_set>(impl_->context);
   for (int number : signals) {
     impl_->signals->add(number);
--- a/Source/Core/Net/event_loop.h
+++ b/Source/Core/Net/event_loop.h
@@ -33,7 +33,8 @@
   /// thread safe.
   void Post(std::function<void()> fn);
   /// Calls `fn` for each of the signals. Not thread safe. Call once.
-  void OnSignal(std::vector<int> signals, std::function<void(int)> fn);
+  void OnSignal(const std::vector<int>& signals,
+                const std::function<void(int)>& fn);
   /// Memory that one read may use until its callback returns; shared by all
   /// connections, so that idle ones hold none. Not thread safe.
   std::span<char> scratch() { return scratch_; }
--- a/Source/UnitTests/Core/Edge/edge_bench.cc
+++ b/Source/UnitTests/Core/Edge/edge_bench.cc
@@ -81,7 +81,7 @@
         auto connection = std::make_shared<net::ServerConnection>(
             loop_, std::move(socket), net::ServerLimits(),
             [this](const net::ServerConnection::Ptr& caller,
-                   net::ServerRequest request) {
+                   const net::ServerRequest& request) {
               caller->SetGone([this] { ++left_; });
               requests_.push_back(request);
               script_(caller, request);
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -66,7 +66,7 @@
     EventSplitter splitter;
     std::string passed;
     for (size_t at = 0; at < stream.size(); at += step) {
-      passed += splitter.Feed(std::string_view(stream).substr(at, step));
+      passed += splitter.Feed(std::string_view{stream}.substr(at, step));
     }
     CHECK(passed == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
     CHECK(splitter.last_id() == 2);
