One call's text, plan and log apart from its state

Change: call_text, call_planner and call_log hold what needs no state of the call; headers that Connection names stay on their connection (test row). Conclusion: behaviour as before.

--- /dev/null
+++ b/Source/Core/Edge/call_planner.cc
@@ -0,0 +1,67 @@
+#include "Core/Edge/call_planner.h"
+
+namespace basilvalve::edge {
+namespace {
+
+flow::DispatchInput InputOf(EdgeParts* parts, const CallContract& contract,
+                            const CallTerms& terms,
+                            const CallProgress& progress) {
+  const flow::Route& route = *contract.route;
+  flow::DispatchInput input;
+  input.is_model_call = terms.size.IsModelCall();
+  input.tokens_to_read =
+      terms.size.parts.empty() ? 0 : terms.size.parts.back().tokens;
+  input.rank = route.priority;
+  input.to_target = progress.to_target;
+  input.to_limit = progress.to_limit;
+  input.hop = parts->region_round_trip;
+  input.spread = parts->random->Unit();
+  if (input.is_model_call) {
+    input.output_tokens =
+        parts->registry
+            ->KindOf(contract.service, route.priority, terms.size.tokens_out,
+                     contract.time_left)
+            .output_tokens;
+    input.tolerated_pace_us =
+        parts->registry->ProfileOf(contract.service).ToleratedPaceUs();
+  }
+  return input;
+}
+
+}  // namespace
+
+CallPlan PlanCall(EdgeParts* parts, const CallContract& contract,
+                  const CallTerms& terms, const CallProgress& progress) {
+  Instant now = parts->loop->Now();
+  const flow::Route& route = *contract.route;
+  flow::DispatchInput input = InputOf(parts, contract, terms, progress);
+  CallPlan plan;
+  if (contract.is_from_peer || route.Permits(parts->fleet->self().region)) {
+    flow::PlacementNeed need{
+        &route,          &contract.traits,    contract.service, &terms.size,
+        &progress.tried, input.output_tokens, input.to_target,  input.to_limit};
+    plan.local = parts->placer->Choose(need, now);
+    if (plan.local) {
+      input.local = plan.local->forecast;
+    }
+  }
+  if (!contract.is_from_peer) {
+    for (flow::RegionOffer& offer :
+         parts->fleet->Offers(contract.service, now)) {
+      if (route.Permits(offer.region) &&
+          !progress.tried_regions.contains(offer.region)) {
+        input.offers.push_back(std::move(offer));
+      }
+    }
+  }
+  plan.verdict = flow::Decide(input);
+  // Work that another instance decided to place here is not refused for being
+  // late: its sender knows no better place, and a refusal costs a round trip.
+  if (plan.verdict.kind == flow::DispatchKind::kRefuse && plan.local &&
+      (progress.sends > 0 || contract.is_from_peer)) {
+    plan.verdict.kind = flow::DispatchKind::kLocal;
+  }
+  return plan;
+}
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/call_text.cc
@@ -0,0 +1,130 @@
+#include "Core/Edge/call_text.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "Core/Edge/hop_header.h"
+
+namespace basilvalve::edge {
+namespace {
+
+// Headers that concern one connection only (RFC 9110, 7.6.1).
+constexpr std::array<std::string_view, 9> kHopByHop = {
+    "Connection",       "Keep-Alive",
+    "Proxy-Connection", "TE",
+    "Trailer",          "Transfer-Encoding",
+    "Upgrade",          "Proxy-Authorization",
+    "Content-Length"};
+
+// Whether a field stays on its connection; Connection may name more of them.
+bool IsHopByHop(const net::MessageHead& head, std::string_view name) {
+  const std::string* named = head.Find("Connection");
+  return std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                     [name](std::string_view it) {
+                       return net::EqualsIgnoringCase(it, name);
+                     }) ||
+         (named != nullptr && net::HasListWord(*named, name));
+}
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 429:
+      return "Too Many Requests";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Answer";
+  }
+}
+
+std::string StartLine(int status) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(ReasonOf(status)).append("\r\n");
+  return out;
+}
+
+void AppendLine(std::string_view name, std::string_view value,
+                std::string* head) {
+  head->append(name).append(": ").append(value).append("\r\n");
+}
+
+void EndHead(bool keep_alive, std::string* head) {
+  head->append(keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
+}
+
+}  // namespace
+
+std::string RequestText(const net::ServerRequest& request,
+                        const CallDialect& dialect, const SendTerms& terms,
+                        std::string_view hop) {
+  std::string out =
+      request.head.method + " " + request.head.target + " HTTP/1.1\r\n";
+  for (const net::HeaderField& field : request.head.fields) {
+    if (!IsHopByHop(request.head, field.name) && dialect.PassesOn(field.name) &&
+        !net::EqualsIgnoringCase(field.name, kHopHeader)) {
+      AppendLine(field.name, field.value, &out);
+    }
+  }
+  dialect.AppendSendLines(terms, &out);
+  if (!hop.empty()) {
+    AppendLine(kHopHeader, hop, &out);
+  }
+  if (!request.body.empty() || request.head.content_length ||
+      request.head.chunked) {
+    AppendLine("Content-Length", std::to_string(request.body.size()), &out);
+  }
+  out.append("\r\n").append(request.body);
+  return out;
+}
+
+std::string AnswerHeadText(const net::MessageHead& head) {
+  std::string out = StartLine(head.status);
+  for (const net::HeaderField& field : head.fields) {
+    if (!IsHopByHop(head, field.name)) {
+      AppendLine(field.name, field.value, &out);
+    }
+  }
+  return out;
+}
+
+std::string WholeAnswerText(const net::MessageHead& head, std::string_view body,
+                            bool keep_alive) {
+  std::string out = AnswerHeadText(head);
+  AppendLine("Content-Length", std::to_string(body.size()), &out);
+  EndHead(keep_alive, &out);
+  out.append(body);
+  return out;
+}
+
+std::string ChunkedHeadText(const net::MessageHead& head, bool keep_alive) {
+  std::string out = AnswerHeadText(head);
+  AppendLine("Transfer-Encoding", "chunked", &out);
+  EndHead(keep_alive, &out);
+  return out;
+}
+
+std::string FailureText(int status, Millis retry_after,
+                        std::optional<Outcome> outcome, bool keep_alive) {
+  std::string out = StartLine(status);
+  AppendLine("Content-Length", "0", &out);
+  if (retry_after > Millis::zero()) {
+    std::array<char, 32> seconds{};
+    std::snprintf(seconds.data(), seconds.size(), "%.3f",
+                  static_cast<double>(retry_after.count()) / 1000);
+    AppendLine("Retry-After", seconds.data(), &out);
+  }
+  if (outcome) {
+    AppendLine(kHopOutcomeHeader, OutcomeName(*outcome), &out);
+  }
+  EndHead(keep_alive, &out);
+  return out;
+}
+
+}  // namespace basilvalve::edge
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 
 #include "Core/Common/log.h"
+#include "Core/Edge/call_log.h"
+#include "Core/Edge/call_text.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -12,13 +14,6 @@
 // Sends that never connected cost nothing but time: a few upstreams may be
 // gone at once.
 constexpr int kMostFailedConnects = 4;
-// Headers that concern one connection only (RFC 9110, 7.6.1).
-constexpr std::array<std::string_view, 9> kHopByHop = {
-    "Connection",       "Keep-Alive",
-    "Proxy-Connection", "TE",
-    "Trailer",          "Transfer-Encoding",
-    "Upgrade",          "Proxy-Authorization",
-    "Content-Length"};
 // Without a sign of life from an upstream for this long, its calls are moved:
 // under the pause that callers of a stream notice, over a long engine step.
 constexpr Millis kSilence{650};
@@ -27,46 +22,6 @@
 // Time for a passed-on call's refusal to come back before its own limit.
 constexpr Millis kHopSlack{60};
 
-bool IsHopByHop(std::string_view name) {
-  return std::any_of(kHopByHop.begin(), kHopByHop.end(),
-                     [name](std::string_view it) {
-                       return net::EqualsIgnoringCase(it, name);
-                     });
-}
-
-std::string_view ReasonOf(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 429:
-      return "Too Many Requests";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Answer";
-  }
-}
-
-void AppendLine(std::string_view name, std::string_view value,
-                std::string* head) {
-  head->append(name).append(": ").append(value).append("\r\n");
-}
-
-std::string AnswerHead(const net::MessageHead& head) {
-  std::string out = "HTTP/1.1 " + std::to_string(head.status) + " ";
-  out.append(ReasonOf(head.status)).append("\r\n");
-  for (const net::HeaderField& field : head.fields) {
-    if (!IsHopByHop(field.name)) {
-      AppendLine(field.name, field.value, &out);
-    }
-  }
-  return out;
-}
-
 }  // namespace
 
 Exchange::Exchange(EdgeParts* parts, net::ServerConnection::Ptr caller,
@@ -85,13 +40,6 @@
       patience_at_(request_.arrived + contract_.time_left),
       target_at_(request_.arrived + contract_.target_left) {}
 
-Exchange::~Exchange() = default;
-
-Millis Exchange::TimeLeft() const {
-  return std::chrono::floor<Millis>((IsStream() ? patience_at_ : limit_at_) -
-                                    parts_->loop->Now());
-}
-
 void Exchange::Start() {
   caller_->SetGone([weak = weak_from_this()] {
     if (auto self = weak.lock()) {
@@ -105,54 +53,10 @@
   Place();
 }
 
-flow::DispatchVerdict Exchange::DecideNow(
-    std::optional<flow::Placement>* local) {
-  Instant now = parts_->loop->Now();
-  const flow::Route& route = *contract_.route;
-  flow::DispatchInput input;
-  input.is_model_call = terms_.size.IsModelCall();
-  input.tokens_to_read =
-      terms_.size.parts.empty() ? 0 : terms_.size.parts.back().tokens;
-  input.rank = route.priority;
-  input.to_target = target_at_ - now;
-  input.to_limit = TimeLeft();
-  input.hop = parts_->region_round_trip;
-  input.spread = parts_->random->Unit();
-  if (input.is_model_call) {
-    input.output_tokens =
-        parts_->registry
-            ->KindOf(contract_.service, route.priority, terms_.size.tokens_out,
-                     contract_.time_left)
-            .output_tokens;
-    input.tolerated_pace_us =
-        parts_->registry->ProfileOf(contract_.service).ToleratedPaceUs();
-  }
-  if (contract_.is_from_peer || route.Permits(parts_->fleet->self().region)) {
-    flow::PlacementNeed need{
-        &route,  &contract_.traits,   contract_.service, &terms_.size,
-        &tried_, input.output_tokens, input.to_target,   input.to_limit};
-    *local = parts_->placer->Choose(need, now);
-    if (*local) {
-      input.local = (*local)->forecast;
-    }
-  }
-  if (!contract_.is_from_peer) {
-    for (flow::RegionOffer& offer :
-         parts_->fleet->Offers(contract_.service, now)) {
-      if (route.Permits(offer.region) &&
-          !tried_regions_.contains(offer.region)) {
-        input.offers.push_back(std::move(offer));
-      }
-    }
-  }
-  flow::DispatchVerdict verdict = flow::Decide(input);
-  // Work that another instance decided to place here is not refused for being
-  // late: its sender knows no better place, and a refusal costs a round trip.
-  if (verdict.kind == flow::DispatchKind::kRefuse && *local &&
-      (sends_ > 0 || contract_.is_from_peer)) {
-    verdict.kind = flow::DispatchKind::kLocal;
-  }
-  return verdict;
+CallPlan Exchange::Plan() {
+  progress_.to_target = target_at_ - parts_->loop->Now();
+  progress_.to_limit = TimeLeft();
+  return PlanCall(parts_, contract_, terms_, progress_);
 }
 
 void Exchange::Place() {
@@ -160,11 +64,11 @@
     OnLimit();
     return;
   }
-  std::optional<flow::Placement> local;
-  flow::DispatchVerdict verdict = DecideNow(&local);
+  CallPlan plan = Plan();
+  const flow::DispatchVerdict& verdict = plan.verdict;
   switch (verdict.kind) {
     case flow::DispatchKind::kLocal:
-      SendHere(*local);
+      SendHere(*plan.local);
       return;
     case flow::DispatchKind::kRemote:
       SendAway(verdict.region);
@@ -172,21 +76,7 @@
     case flow::DispatchKind::kRefuse:
       break;
   }
-  LogEvent(LogLevel::kInfo, "edge", "no_room")
-      .With("request", terms_.id.value())
-      .With("service", contract_.service.value())
-      .With("tokens_in", terms_.size.tokens_in)
-      .With("first_byte_ms",
-            std::chrono::floor<Millis>(verdict.forecast.first_byte).count())
-      .With("pace_percent",
-            static_cast<int64_t>(verdict.forecast.pace_strain * 100))
-      .With("finish_ms",
-            std::chrono::floor<Millis>(verdict.forecast.finish).count())
-      .With(
-          "target_left_ms",
-          std::chrono::floor<Millis>(target_at_ - parts_->loop->Now()).count())
-      .With("time_left_ms", TimeLeft().count())
-      .With("retry_after_ms", verdict.retry_after.count());
+  LogNoRoom(terms_, contract_, progress_, verdict);
   if (runs_ > 0) {
     AnswerFailure(502, {}, "no_upstream_left");
     return;
@@ -194,28 +84,6 @@
   AnswerFailure(503, verdict.retry_after, "no_room");
 }
 
-std::string Exchange::RequestBytes(const SendTerms& terms,
-                                   std::string_view hop) const {
-  std::string out =
-      request_.head.method + " " + request_.head.target + " HTTP/1.1\r\n";
-  for (const net::HeaderField& field : request_.head.fields) {
-    if (!IsHopByHop(field.name) && parts_->dialect->PassesOn(field.name) &&
-        !net::EqualsIgnoringCase(field.name, kHopHeader)) {
-      AppendLine(field.name, field.value, &out);
-    }
-  }
-  parts_->dialect->AppendSendLines(terms, &out);
-  if (!hop.empty()) {
-    AppendLine(kHopHeader, hop, &out);
-  }
-  if (!request_.body.empty() || request_.head.content_length ||
-      request_.head.chunked) {
-    AppendLine("Content-Length", std::to_string(request_.body.size()), &out);
-  }
-  out.append("\r\n").append(request_.body);
-  return out;
-}
-
 void Exchange::SendHere(const flow::Placement& placement) {
   Instant now = parts_->loop->Now();
   flow::Upstream& upstream = *placement.upstream;
@@ -250,7 +118,7 @@
       splitter_.last_id() ? splitter_.last_id() : terms_.resume_after;
   parts_->metrics->CountSend("here");
   BeginAttempt(parts_->upstream_pool->Take(attempt_.endpoint, !IsRepeatable()),
-               RequestBytes(terms, {}));
+               RequestText(request_, *parts_->dialect, terms, {}));
 }
 
 void Exchange::SendAway(const RegionId& region) {
@@ -258,7 +126,7 @@
   std::vector<flow::InstanceRecord> live = parts_->fleet->Live(region, now);
   std::erase_if(live, [](const auto& record) { return record.is_draining; });
   if (live.empty()) {
-    tried_regions_.insert(region);
+    progress_.tried_regions.insert(region);
     Place();
     return;
   }
@@ -294,7 +162,8 @@
   terms.resume_after =
       splitter_.last_id() ? splitter_.last_id() : terms_.resume_after;
   parts_->metrics->CountSend("away");
-  std::string bytes = RequestBytes(terms, FormatHop(hop));
+  std::string bytes =
+      RequestText(request_, *parts_->dialect, terms, FormatHop(hop));
   parts_->metrics->CountRegionBytes(bytes.size());
   BeginAttempt(parts_->peer_pool->Take(attempt_.endpoint, !IsRepeatable()),
                std::move(bytes));
@@ -306,7 +175,7 @@
   attempt_.sent_at = parts_->loop->Now();
   attempt_.event_at = attempt_.sent_at;
   attempt_.connection = std::move(connection);
-  ++sends_;
+  ++progress_.sends;
   ++runs_;
   attempt_.connection->Send(std::move(bytes), this);
   ArmSilence();
@@ -436,13 +305,7 @@
 
 void Exchange::BeginStream(const net::MessageHead& head) {
   stream_begun_ = true;
-  std::string out = AnswerHead(head);
-  out.append("Transfer-Encoding: chunked\r\n");
-  if (!request_.head.keep_alive || caller_->closing()) {
-    out.append("Connection: close\r\n");
-  }
-  out.append("\r\n");
-  caller_->Write(out);
+  caller_->Write(ChunkedHeadText(head, KeepsAlive()));
 }
 
 void Exchange::OnDone() {
@@ -458,7 +321,7 @@
     return;
   }
   if (attempt_.peer_outcome) {
-    tried_regions_.insert(attempt_.region);
+    progress_.tried_regions.insert(attempt_.region);
     if (*attempt_.peer_outcome == Outcome::kNotRun) {
       OnNotRun("peer_refused");
     } else {
@@ -517,17 +380,12 @@
 }
 
 void Exchange::AnswerWhole() {
-  std::string out = AnswerHead(attempt_.head);
-  AppendLine("Content-Length", std::to_string(attempt_.body.size()), &out);
-  bool keep = request_.head.keep_alive && !caller_->closing();
-  if (!keep) {
-    out.append("Connection: close\r\n");
-  }
-  out.append("\r\n");
+  bool keep = KeepsAlive();
+  std::string_view body;
   if (request_.head.method != "HEAD") {
-    out.append(attempt_.body);
+    body = attempt_.body;
   }
-  caller_->Write(out);
+  caller_->Write(WholeAnswerText(attempt_.head, body, keep));
   caller_->EndAnswer(keep);
   Finish("done", attempt_.head.status, "answered");
 }
@@ -555,7 +413,7 @@
     --runs_;
     ++failed_connects_;
     if (attempt_.upstream) {
-      tried_.insert(attempt_.upstream->record.id);
+      progress_.tried.insert(attempt_.upstream->record.id);
     }
     if (failed_connects_ <= kMostFailedConnects) {
       Place();
@@ -565,7 +423,7 @@
     return;
   }
   if (attempt_.upstream) {
-    tried_.insert(attempt_.upstream->record.id);
+    progress_.tried.insert(attempt_.upstream->record.id);
   }
   OnMayHaveRun(fault == net::ClientFault::kGarbled ? "answer_garbled"
                                                    : "connection_lost");
@@ -579,11 +437,7 @@
     return false;
   }
   parts_->metrics->CountRepeat(why);
-  LogEvent(LogLevel::kInfo, "edge", "repeat")
-      .With("request", terms_.id.value())
-      .With("why", why)
-      .With("after", attempt_.endpoint.Text())
-      .With("left_ms", TimeLeft().count());
+  LogRepeat(terms_, why, attempt_.endpoint, TimeLeft());
   Place();
   return true;
 }
@@ -591,7 +445,7 @@
 void Exchange::OnNotRun(std::string_view why) {
   --runs_;
   if (attempt_.upstream) {
-    tried_.insert(attempt_.upstream->record.id);
+    progress_.tried.insert(attempt_.upstream->record.id);
   }
   if (TryAgain(why)) {
     return;
@@ -613,26 +467,12 @@
     Finish("broken", status, why);
     return;
   }
-  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-  out.append(ReasonOf(status)).append("\r\nContent-Length: 0\r\n");
-  if (retry_after > Millis::zero()) {
-    std::array<char, 32> seconds{};
-    std::snprintf(seconds.data(), seconds.size(), "%.3f",
-                  static_cast<double>(retry_after.count()) / 1000);
-    AppendLine("Retry-After", seconds.data(), &out);
-  }
+  std::optional<Outcome> outcome;
   if (contract_.is_from_peer) {
-    AppendLine(
-        kHopOutcomeHeader,
-        OutcomeName(status == 503 ? Outcome::kNotRun : Outcome::kUnknown),
-        &out);
-  }
-  bool keep = request_.head.keep_alive && !caller_->closing();
-  if (!keep) {
-    out.append("Connection: close\r\n");
+    outcome = status == 503 ? Outcome::kNotRun : Outcome::kUnknown;
   }
-  out.append("\r\n");
-  caller_->Write(out);
+  bool keep = KeepsAlive();
+  caller_->Write(FailureText(status, retry_after, outcome, keep));
   caller_->EndAnswer(keep);
   Finish(status == 503 ? "not-run" : "unknown", status, why);
 }
@@ -699,10 +539,9 @@
   if (runs_ >= contract_.route->max_attempts) {
     return;
   }
-  tried_.insert(attempt_.upstream->record.id);
+  progress_.tried.insert(attempt_.upstream->record.id);
   attempt_.upstream->breaker.OnFailure(now);
-  std::optional<flow::Placement> local;
-  if (DecideNow(&local).kind == flow::DispatchKind::kRefuse) {
+  if (Plan().verdict.kind == flow::DispatchKind::kRefuse) {
     return;
   }
   CancelAttempt();
@@ -752,17 +591,8 @@
   Instant now = parts_->loop->Now();
   parts_->metrics->CountCall(outcome, status);
   parts_->metrics->ObserveWhole(now - request_.arrived);
-  LogEvent(LogLevel::kInfo, "edge", "call_ended")
-      .With("request", terms_.id.value())
-      .With("route", contract_.route->name)
-      .With("state_version", static_cast<int64_t>(contract_.state_version))
-      .With("outcome", outcome)
-      .With("status", status)
-      .With("why", why)
-      .With("sends", sends_)
-      .With("last", attempt_.endpoint.Text())
-      .With("took_ms",
-            std::chrono::floor<Millis>(now - request_.arrived).count());
+  LogCallEnd(terms_, contract_, progress_,
+             {outcome, status, why, attempt_.endpoint, now - request_.arrived});
   if (!attempt_.is_active) {
     on_ended_(this);
   }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -3,9 +3,9 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 
+#include "Core/Edge/call_planner.h"
 #include "Core/Edge/edge_parts.h"
 #include "Core/Edge/hop_header.h"
 #include "Core/Flow/event_splitter.h"
@@ -13,22 +13,6 @@
 
 namespace basilvalve::edge {
 
-/// The contract that a call runs under.
-struct CallContract {
-  std::shared_ptr<const flow::Route> route;
-  ServiceName service;
-  /// Version of the desired state that the route is from; 0 from a peer.
-  uint64_t state_version = 0;
-  /// Copied: the call outlives the desired state that it came in under.
-  flow::ServiceTraits traits;
-  /// Time that the caller leaves it, as of its arrival; the route's own timeout
-  /// is the route's.
-  Millis time_left{0};
-  Millis target_left{0};
-  /// Whether another instance passed it on: then it runs here or not at all.
-  bool is_from_peer = false;
-};
-
 /// Sends a call to upstreams or instances until there is an answer, and keeps
 /// account of what may have run. Lives while its connections call it. Not
 /// thread safe.
@@ -40,7 +24,7 @@
   Exchange(EdgeParts* parts, net::ServerConnection::Ptr caller,
            net::ServerRequest request, CallTerms terms, CallContract contract,
            EndedFn on_ended);
-  ~Exchange() override;
+  ~Exchange() override = default;
 
   /// Call once. Not thread safe.
   void Start();
@@ -77,10 +61,9 @@
   };
 
   void Place();
-  flow::DispatchVerdict DecideNow(std::optional<flow::Placement>* local);
+  CallPlan Plan();
   void SendHere(const flow::Placement& placement);
   void SendAway(const RegionId& region);
-  std::string RequestBytes(const SendTerms& terms, std::string_view hop) const;
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
   void ReleaseShare();
@@ -103,7 +86,14 @@
   bool IsStream() const {
     return contract_.route->kind == flow::CallKind::kStream;
   }
-  Millis TimeLeft() const;
+  /// Of the caller's patience for a stream, which may outlast the timeout.
+  Millis TimeLeft() const {
+    return std::chrono::floor<Millis>((IsStream() ? patience_at_ : limit_at_) -
+                                      parts_->loop->Now());
+  }
+  bool KeepsAlive() const {
+    return request_.head.keep_alive && !caller_->closing();
+  }
 
   EdgeParts* parts_;
   net::ServerConnection::Ptr caller_;
@@ -115,14 +105,12 @@
   net::Timer silence_timer_;
   Attempt attempt_;
   flow::EventSplitter splitter_;
-  std::set<UpstreamId> tried_;
-  std::set<RegionId> tried_regions_;
+  CallProgress progress_;
   /// Until when there has to be an answer, or the beginning of a stream.
   Instant limit_at_;
   /// Until when the caller waits.
   Instant patience_at_;
   Instant target_at_;
-  int sends_ = 0;
   /// Sends that may have begun to run.
   int runs_ = 0;
   int failed_connects_ = 0;
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -41,7 +41,8 @@
   bench.PutStateInForce();
   Upstream& upstream = bench.AddUpstream("u1", AnswerOk);
   auto caller = bench.Call(EdgeBench::Request(
-      "/once/a?b=c", "r1", "hello", "Expected: forged\r\nOther: kept\r\n"));
+      "/once/a?b=c", "r1", "hello",
+      "Expected: forged\r\nOther: kept\r\nConnection: Mine\r\nMine: x\r\n"));
   REQUIRE(bench.RunUntil([&] { return Has(*caller, "\r\n\r\ndone"); }));
   CHECK(Has(*caller, "HTTP/1.1 200"));
   CHECK(Has(*caller, "Proof: p"));
@@ -52,6 +53,7 @@
   CHECK(*request.head.Find("Expected") == "u1");
   CHECK(request.head.Count("Expected") == 1);
   CHECK(*request.head.Find("Other") == "kept");
+  CHECK(request.head.Find("Mine") == nullptr);
   CHECK(std::stoi(*request.head.Find("Patience")) <= 2000);
 }
 
