--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -11,8 +11,7 @@
 namespace basilvalve::edge {
 namespace {
 
-// Sends that never connected cost nothing but time: a few upstreams may be
-// gone at once.
+// Several upstreams may be gone at once; a failed connect costs only time.
 constexpr int kMostFailedConnects = 4;
 // Without a sign of life from an upstream for this long, its calls are moved:
 // under the pause that callers of a stream notice, over a long engine step.
