A cancelled probe counts back: a well upstream is not kept out for good

Cause: found by reading the diff: a call that is cancelled before its first event (its caller left) told the breaker nothing, so two such probes of a half-open breaker kept the upstream out for good. Change: a cancelled call without a first event ends its probe as neutral.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -578,6 +578,9 @@
   }
   attempt_.is_active = false;
   ReleaseShare();
+  if (attempt_.upstream && !attempt_.has_first) {
+    attempt_.upstream->breaker.OnNeutral();
+  }
   attempt_.connection->Close();
   attempt_.connection = nullptr;
 }
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -328,6 +328,41 @@
   }
 }
 
+// Found by reading: a probe whose caller left was never counted back, and two
+// of them kept a well upstream out for good.
+TEST_CASE("callers that leave do not keep an upstream out") {
+  EdgeBench bench;
+  bench.PutStateInForce();
+  bool answers = false;
+  Upstream& upstream = bench.AddUpstream(
+      "u1", [&](const Caller& caller, const Request& request) {
+        if (answers) {
+          AnswerOk(caller, request);
+        }
+      });
+  auto known = bench.node->registry().Find(UpstreamId("u1"));
+  for (int i = 0; i < 3; ++i) {
+    known->breaker.OnFailure(bench.loop.Now());
+  }
+  REQUIRE(bench.RunUntil([&] {
+    bench.loop.RunUntil([] { return false; }, Millis(20));
+    return known->breaker.StateAt(bench.loop.Now()) ==
+           admission::BreakerState::kHalfOpen;
+  }));
+  for (size_t i = 1; i <= 2; ++i) {
+    auto caller =
+        bench.Call(EdgeBench::Request("/again/", "r" + std::to_string(i)));
+    REQUIRE(bench.RunUntil([&] { return upstream.requests().size() == i; }));
+    caller->Close();
+    REQUIRE(
+        bench.RunUntil([&] { return upstream.left() == static_cast<int>(i); }));
+  }
+  answers = true;
+  auto caller = bench.Call(EdgeBench::Request("/again/", "r3"));
+  REQUIRE(bench.RunUntil([&] { return Has(*caller, "\r\n\r\n"); }));
+  CHECK(Has(*caller, "HTTP/1.1 200"));
+}
+
 TEST_CASE("a wrong request gets one clear answer and a close") {
   EdgeBench bench;
   bench.PutStateInForce();
