Named constants for urgency, early return and the least time for a repeat

Cause: the read of the diff: three bare numbers in exchange.cc. Change: constants with their reason; the text of a chunk and the urgency of a route stand beside their like. Behaviour as before.

--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -1,8 +1,16 @@
 #include "Core/Edge/call_planner.h"
 
+#include <algorithm>
+
 namespace basilvalve::edge {
 namespace {
 
+// Ranks are spread around 5, which is an engine's own for a call without one;
+// 9 is the last that engines know.
+constexpr int kFirstUrgency = 3;
+constexpr int kUrgencyStep = 2;
+constexpr int kLastUrgency = 9;
+
 flow::DispatchInput InputOf(EdgeParts* parts, const CallContract& contract,
                             const CallTerms& terms,
                             const CallProgress& progress) {
@@ -30,6 +38,11 @@
 
 }  // namespace
 
+int UrgencyOf(const flow::Route& route) {
+  return std::clamp(kFirstUrgency + kUrgencyStep * route.priority, 0,
+                    kLastUrgency);
+}
+
 CallPlan PlanCall(EdgeParts* parts, const CallContract& contract,
                   const CallTerms& terms, const CallProgress& progress) {
   Instant now = parts->loop->Now();
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -40,6 +40,9 @@
   std::optional<flow::Placement> local;
 };
 
+/// Urgency of a route's calls at an engine, by its rank. Thread safe.
+int UrgencyOf(const flow::Route& route);
+
 /// Collects the input of flow::Decide. Not thread safe.
 CallPlan PlanCall(EdgeParts* parts, const CallContract& contract,
                   const CallTerms& terms, const CallProgress& progress);
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -1,8 +1,6 @@
 #include "Core/Edge/exchange.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include "Core/Common/log.h"
 #include "Core/Edge/call_log.h"
@@ -21,6 +19,11 @@
 // Time for a passed-on call's refusal to come back before its own limit.
 constexpr Millis kHopSlack{60};
 
+// What did not run for a reason other than load may come back this soon.
+constexpr Millis kUnrunRetryAfter{200};
+// With less time left than a round trip in the region takes, no repeat helps.
+constexpr Millis kLeastRepeatTime{20};
+
 }  // namespace
 
 Exchange::Exchange(EdgeParts* parts, net::ServerConnection::Ptr caller,
@@ -112,7 +115,7 @@
   parts_->cold_gate->OnSent(upstream.record.id, now);
   terms.expected = upstream.record.id;
   terms.time_left = TimeLeft();
-  terms.urgency = std::clamp(3 + 2 * contract_.route->priority, 0, 9);
+  terms.urgency = UrgencyOf(*contract_.route);
   terms.resume_after =
       splitter_.last_id() ? splitter_.last_id() : terms_.resume_after;
   parts_->metrics->CountSend("here");
@@ -285,11 +288,7 @@
   if (!stream_begun_) {
     BeginStream(attempt_.head);
   }
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", events.size());
-  events.insert(0, size.data());
-  events.append("\r\n");
-  caller_->Write(events);
+  caller_->Write(ChunkText(events));
   if (!caller_->is_clogged()) {
     return;
   }
@@ -418,7 +417,7 @@
       Place();
       return;
     }
-    AnswerFailure(runs_ > 0 ? 502 : 503, Millis(200), "no_connection");
+    AnswerFailure(runs_ > 0 ? 502 : 503, kUnrunRetryAfter, "no_connection");
     return;
   }
   if (attempt_.upstream) {
@@ -430,7 +429,8 @@
 
 bool Exchange::TryAgain(std::string_view why) {
   Instant now = parts_->loop->Now();
-  if (runs_ >= contract_.route->max_attempts || TimeLeft() <= Millis(20) ||
+  if (runs_ >= contract_.route->max_attempts ||
+      TimeLeft() <= kLeastRepeatTime ||
       !parts_->allowance->TryTake(contract_.service,
                                   parts_->fleet->LiveCount(now), now)) {
     return false;
@@ -449,7 +449,7 @@
   if (TryAgain(why)) {
     return;
   }
-  AnswerFailure(runs_ > 0 ? 502 : 503, Millis(200), why);
+  AnswerFailure(runs_ > 0 ? 502 : 503, kUnrunRetryAfter, why);
 }
 
 void Exchange::OnMayHaveRun(std::string_view why) {
@@ -502,7 +502,7 @@
   bool may_have_run = runs_ > 0;
   CancelAttempt();
   AnswerFailure(may_have_run ? 504 : 503,
-                may_have_run ? Millis(0) : Millis(200), "time_limit");
+                may_have_run ? Millis(0) : kUnrunRetryAfter, "time_limit");
 }
 
 void Exchange::ArmSilence() {
