One outbox for both kinds of connection; unused traits and a one-field struct gone

Cause: the read of the diff: the two connections wrote the same loop, three decoded traits had no reader, and the head's accessor was hard to read. Change: Outbox holds and writes what a socket has not taken. Behaviour as before.

--- a/Source/Core/Flow/desired_state.h
+++ b/Source/Core/Flow/desired_state.h
@@ -58,12 +58,8 @@
 
 /// What is known of a service's upstreams as a kind.
 struct ServiceTraits {
-  std::string health_path;
-  /// Connections that one upstream takes from all instances together.
-  uint32_t max_connections = 0;
   /// Requests a second that a cold upstream tolerates; 0 if it knows no cold.
   double cold_per_second = 0;
-  Millis cold_time{0};
   /// Requests that a model engine runs at once; 0 for a plain service.
   uint32_t batch_slots = 0;
   /// Tokens that fit into a model engine's memory.
--- a/Source/Core/Flow/fleet_view.cc
+++ b/Source/Core/Flow/fleet_view.cc
@@ -166,7 +166,7 @@
     auto away = away_.find(region);
     if (away != away_.end() && away->second.contains(service) &&
         offer.room.read_tokens_per_ms > 0) {
-      double ms = away->second.at(service).tokens /
+      double ms = away->second.at(service) /
                   (offer.room.read_tokens_per_ms * offer.room.upstreams);
       offer.room.wait += Micros(static_cast<int64_t>(ms * 1000));
     }
@@ -177,7 +177,7 @@
 
 void FleetView::OnSentAway(const RegionId& region, const ServiceName& service,
                            double tokens) {
-  away_[region][service].tokens += tokens;
+  away_[region][service] += tokens;
 }
 
 void FleetView::Sweep(Instant now) {
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -105,16 +105,14 @@
     uint64_t sequence = 0;
     std::map<ServiceName, ServiceRoom> rooms;
   };
-  struct Away {
-    double tokens = 0;
-  };
 
   static bool Supersedes(const Known& known, uint64_t incarnation, Instant now);
   bool IsLive(const Known& known, Instant now) const;
 
   InstanceRecord self_;
   std::map<InstanceId, Known> known_;
-  std::map<RegionId, std::map<ServiceName, Away>> away_;
+  // Prompt tokens sent to a region after its last beat.
+  std::map<RegionId, std::map<ServiceName, double>> away_;
 };
 
 }  // namespace basilvalve::flow
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -59,9 +59,9 @@
   observer_ = observer;
   head_told_ = false;
   dropping_ = false;
-  sent_any_ = false;
+  written_before_ = outbox_.written();
   paused_ = false;
-  unwritten_ = std::move(bytes);
+  outbox_.Assign(std::move(bytes));
   if (connected_) {
     // From the loop, so that a failure is not told before Send returns.
     loop_->Post([weak = weak_from_this()] {
@@ -77,29 +77,17 @@
   if (closed_ || waiting_write_) {
     return;
   }
-  size_t written = 0;
-  while (written < unwritten_.size()) {
-    IoResult put = socket_->Write(std::string_view{unwritten_}.substr(written));
-    if (put.status == IoStatus::kBlocked) {
-      waiting_write_ = true;
-      socket_->WaitWritable([weak = weak_from_this()] {
-        if (auto it = weak.lock()) {
-          it->waiting_write_ = false;
-          it->Flush();
-        }
-      });
-      break;
-    }
-    if (put.status != IoStatus::kDone) {
-      FailWith(ClientFault::kClosed);
-      return;
-    }
-    written += put.bytes;
-    sent_any_ = true;
-  }
-  unwritten_.erase(0, written);
-  if (unwritten_.empty()) {
-    unwritten_.shrink_to_fit();
+  IoStatus status = outbox_.WriteTo(socket_.get());
+  if (status == IoStatus::kBlocked) {
+    waiting_write_ = true;
+    socket_->WaitWritable([weak = weak_from_this()] {
+      if (auto it = weak.lock()) {
+        it->waiting_write_ = false;
+        it->Flush();
+      }
+    });
+  } else if (status != IoStatus::kDone) {
+    FailWith(ClientFault::kClosed);
   }
 }
 
@@ -235,7 +223,7 @@
   auto self = shared_from_this();
   // Bytes past a whole answer, or a request that is not out yet, leave the
   // connection in a state that the next request cannot rely on.
-  if (!unparsed_.empty() || !unwritten_.empty()) {
+  if (!unparsed_.empty() || !outbox_.empty()) {
     reusable_ = false;
   }
   parser_.Reset();
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "Core/Net/message.h"
+#include "Core/Net/outbox.h"
 #include "Core/Net/socket.h"
 
 namespace basilvalve::net {
@@ -63,7 +64,7 @@
   /// Not thread safe.
   bool is_connected() const { return connected_; }
   /// Whether this request has left, at least in part. Not thread safe.
-  bool has_sent() const { return sent_any_; }
+  bool has_sent() const { return outbox_.written() > written_before_; }
   /// When the last answer ended, or the connection was made. Not thread safe.
   Instant idle_since() const { return idle_since_; }
   /// How long the server keeps it open without a request; zero if it did not
@@ -87,7 +88,9 @@
   MessageParser parser_;
   ClientObserver* observer_ = nullptr;
   std::string unparsed_;
-  std::string unwritten_;
+  Outbox outbox_;
+  // What earlier requests of the connection had written.
+  uint64_t written_before_ = 0;
   Instant idle_since_;
   Millis server_keep_alive_{0};
   bool connected_ = false;
@@ -96,7 +99,6 @@
   bool paused_ = false;
   bool head_told_ = false;
   bool dropping_ = false;
-  bool sent_any_ = false;
   bool waiting_write_ = false;
 };
 
--- a/Source/Core/Net/message.cc
+++ b/Source/Core/Net/message.cc
@@ -274,8 +274,8 @@
 }
 
 MessageHead& MessageParser::head() {
-  return impl_->With(
-      [](auto& parser) -> MessageHead* { return &parser.collected.head; })[0];
+  return *impl_->With(
+      [](auto& parser) -> MessageHead* { return &parser.collected.head; });
 }
 
 std::string MessageParser::TakeBody() {
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -79,12 +79,7 @@
 }
 
 void ServerConnection::Consume(std::string_view bytes) {
-  if (!unparsed_.empty()) {
-    unparsed_.append(bytes);
-    ParsePending();
-    return;
-  }
-  unparsed_.assign(bytes);
+  unparsed_.append(bytes);
   ParsePending();
 }
 
@@ -166,57 +161,47 @@
   if (ended_ || bytes.empty()) {
     return;
   }
-  unwritten_.append(bytes);
+  outbox_.Add(bytes);
   if (!waiting_write_) {
     Flush();
   }
 }
 
 void ServerConnection::Flush() {
-  size_t written = 0;
-  while (written < unwritten_.size()) {
-    IoResult put = socket_->Write(std::string_view{unwritten_}.substr(written));
-    if (put.status == IoStatus::kBlocked) {
-      waiting_write_ = true;
-      socket_->WaitWritable([weak = weak_from_this()] {
-        if (auto self = weak.lock()) {
-          self->waiting_write_ = false;
-          self->Flush();
-        }
-      });
-      break;
-    }
-    if (put.status != IoStatus::kDone) {
-      // Told from the loop: the writer is in the middle of its own work.
-      loop_->Post([weak = weak_from_this()] {
-        if (auto self = weak.lock()) {
-          self->Drop(/*gone=*/true);
-        }
-      });
-      return;
-    }
-    written += put.bytes;
-  }
-  unwritten_.erase(0, written);
-  if (unwritten_.empty()) {
-    unwritten_.shrink_to_fit();
+  IoStatus status = outbox_.WriteTo(socket_.get());
+  if (status == IoStatus::kBlocked) {
+    waiting_write_ = true;
+    socket_->WaitWritable([weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->waiting_write_ = false;
+        self->Flush();
+      }
+    });
+  } else if (status != IoStatus::kDone) {
+    // Told from the loop: the writer is in the middle of its own work.
+    loop_->Post([weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->Drop(/*gone=*/true);
+      }
+    });
+    return;
   }
   OnWritten();
 }
 
 void ServerConnection::OnWritten() {
-  if (on_drained_ && unwritten_.size() < kClogBytes / 2) {
+  if (on_drained_ && outbox_.size() < kClogBytes / 2) {
     auto fn = std::move(on_drained_);
     on_drained_ = nullptr;
     fn();
   }
-  if (unwritten_.empty() && close_after_write_ && !half_closed_) {
+  if (outbox_.empty() && close_after_write_ && !half_closed_) {
     CloseGently();
   }
 }
 
 bool ServerConnection::is_clogged() const {
-  return unwritten_.size() > kClogBytes;
+  return outbox_.size() > kClogBytes;
 }
 
 void ServerConnection::EndAnswer(bool keep_alive) {
@@ -228,7 +213,7 @@
   }
   if (!keep_alive || close_when_idle_) {
     close_after_write_ = true;
-    if (unwritten_.empty()) {
+    if (outbox_.empty()) {
       CloseGently();
     }
     return;
@@ -252,14 +237,14 @@
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   close_after_write_ = true;
-  if (!ended_ && !half_closed_ && unwritten_.empty()) {
+  if (!ended_ && !half_closed_ && outbox_.empty()) {
     CloseGently();
   }
 }
 
 void ServerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (!busy() && !ended_ && !half_closed_ && unwritten_.empty()) {
+  if (!busy() && !ended_ && !half_closed_ && outbox_.empty()) {
     CloseGently();
   }
 }
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "Core/Net/message.h"
+#include "Core/Net/outbox.h"
 #include "Core/Net/socket.h"
 
 namespace basilvalve::net {
@@ -95,7 +96,7 @@
   Timer timer_;
   std::string unparsed_;
   std::string body_;
-  std::string unwritten_;
+  Outbox outbox_;
   bool handling_ = false;
   bool parser_used_ = false;
   bool head_seen_ = false;
