--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -10,6 +10,12 @@
 constexpr int kFirstUrgency = 3;
 constexpr int kUrgencyStep = 2;
 constexpr int kLastUrgency = 9;
+// Of a stream: under the pause that callers notice, over a long engine step.
+constexpr Millis kStreamSilence{650};
+// Of a plain call: this share of its target, and no less than a busy upstream
+// takes.
+constexpr double kPlainSilenceShare = 0.6;
+constexpr Millis kLeastPlainSilence{50};
 
 flow::DispatchInput InputOf(EdgeParts* parts, const CallContract& contract,
                             const CallTerms& terms,
@@ -43,6 +49,16 @@
                     kLastUrgency);
 }
 
+Millis SilenceBound(const flow::Route& route) {
+  if (route.kind == flow::CallKind::kStream) {
+    return kStreamSilence;
+  }
+  return std::max(
+      kLeastPlainSilence,
+      Millis(static_cast<int64_t>(kPlainSilenceShare *
+                                  static_cast<double>(route.target.count()))));
+}
+
 CallPlan PlanCall(EdgeParts* parts, const CallContract& contract,
                   const CallTerms& terms, const CallProgress& progress) {
   Instant now = parts->loop->Now();
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -43,6 +43,10 @@
 /// Urgency of a route's calls at an engine, by its rank. Thread safe.
 int UrgencyOf(const flow::Route& route);
 
+/// How long an upstream may give no sign of life before a call of the route is
+/// moved. Thread safe.
+Millis SilenceBound(const flow::Route& route);
+
 /// Collects the input of flow::Decide. Not thread safe.
 CallPlan PlanCall(EdgeParts* parts, const CallContract& contract,
                   const CallTerms& terms, const CallProgress& progress);
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -11,11 +11,6 @@
 
 // Several upstreams may be gone at once; a failed connect costs only time.
 constexpr int kMostFailedConnects = 4;
-// Without a sign of life from an upstream for this long, its calls are moved:
-// under the pause that callers of a stream notice, over a long engine step.
-constexpr Millis kSilence{650};
-// A plain call that may be repeated is moved after this share of its target.
-constexpr double kPlainSilenceShare = 0.6;
 // Time for a passed-on call's refusal to come back before its own limit.
 constexpr Millis kHopSlack{60};
 
@@ -509,14 +504,7 @@
   if (!IsRepeatable()) {
     return;
   }
-  Millis wait = kSilence;
-  if (!IsStream()) {
-    wait = std::max(Millis(50),
-                    Millis(static_cast<int64_t>(
-                        kPlainSilenceShare *
-                        static_cast<double>(contract_.route->target.count()))));
-  }
-  silence_timer_.Set(wait, [weak = weak_from_this()] {
+  silence_timer_.Set(SilenceBound(*contract_.route), [weak = weak_from_this()] {
     if (auto self = weak.lock()) {
       self->OnSilence();
     }
@@ -531,7 +519,7 @@
   Instant sign = IsStream()
                      ? std::max(attempt_.upstream->heard, attempt_.sent_at)
                      : attempt_.event_at;
-  if (now - sign < Micros(kSilence) && IsStream()) {
+  if (IsStream() && now - sign < SilenceBound(*contract_.route)) {
     ArmSilence();
     return;
   }
--- a/Source/UnitTests/Core/Edge/edge_bench.cc
+++ b/Source/UnitTests/Core/Edge/edge_bench.cc
@@ -74,25 +74,14 @@
 
 ScriptedUpstream::ScriptedUpstream(net::EventLoop* loop, std::string id,
                                    Script script)
-    : loop_(loop), id_(std::move(id)), script_(std::move(script)) {
-  auto listener = net::Listener::Create(
-      loop, {"127.0.0.1", 0}, Millis(2000),
-      [this](std::unique_ptr<net::Socket> socket) {
-        auto connection = std::make_shared<net::ServerConnection>(
-            loop_, std::move(socket), net::ServerLimits(),
-            [this](const net::ServerConnection::Ptr& caller,
-                   const net::ServerRequest& request) {
-              caller->SetGone([this] { ++left_; });
-              requests_.push_back(request);
-              script_(caller, request);
-            },
-            [](net::ServerConnection*) {});
-        connections_.push_back(connection);
-        connection->Start();
-      });
-  REQUIRE(listener);
-  listener_ = std::move(*listener);
-}
+    : id_(std::move(id)),
+      script_(std::move(script)),
+      server_(loop, [this](const net::ServerConnection::Ptr& caller,
+                           const net::ServerRequest& request) {
+        caller->SetGone([this] { ++left_; });
+        requests_.push_back(request);
+        script_(caller, request);
+      }) {}
 
 flow::UpstreamRecord ScriptedUpstream::Record(
     const ServiceName& service) const {
@@ -100,7 +89,7 @@
   record.id = UpstreamId(id_);
   record.service = service;
   record.host = "127.0.0.1";
-  record.port = listener_->LocalEndpoint().port;
+  record.port = server_.endpoint().port;
   record.zone = flow::ZoneId("zone");
   record.region = RegionId("north");
   record.slots = 8;
--- a/Source/UnitTests/Core/Edge/edge_bench.h
+++ b/Source/UnitTests/Core/Edge/edge_bench.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Core/Edge/edge_node.h"
+#include "UnitTests/Core/Net/test_server.h"
 
 namespace basilvalve::edge {
 
@@ -41,13 +42,11 @@
   static std::string Chunk(const std::string& data);
 
  private:
-  net::EventLoop* loop_;
   std::string id_;
   Script script_;
   std::vector<net::ServerRequest> requests_;
-  std::vector<net::ServerConnection::Ptr> connections_;
   int left_ = 0;
-  std::unique_ptr<net::Listener> listener_;
+  net::TestServer server_;
 };
 
 /// A caller's connection, byte by byte.
--- /dev/null
+++ b/Source/UnitTests/Core/Net/test_server.cc
@@ -0,0 +1,21 @@
+#include "UnitTests/Core/Net/test_server.h"
+
+#include <catch2/catch.hpp>
+
+namespace basilvalve::net {
+
+TestServer::TestServer(EventLoop* loop,
+                       ServerConnection::RequestFn on_request) {
+  auto listener = Listener::Create(
+      loop, {"127.0.0.1", 0}, Millis(2000),
+      [this, loop, on_request](std::unique_ptr<Socket> socket) {
+        connections_.push_back(std::make_shared<ServerConnection>(
+            loop, std::move(socket), ServerLimits(), on_request,
+            [](ServerConnection*) {}));
+        connections_.back()->Start();
+      });
+  REQUIRE(listener);
+  listener_ = std::move(*listener);
+}
+
+}  // namespace basilvalve::net
--- /dev/null
+++ b/Source/UnitTests/Core/Net/test_server.h
@@ -0,0 +1,23 @@
+// A server on loopback that hands each request to a test.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "Core/Net/server_connection.h"
+
+namespace basilvalve::net {
+
+/// Listens on a port that the system chooses. Not thread safe.
+class TestServer {
+ public:
+  TestServer(EventLoop* loop, ServerConnection::RequestFn on_request);
+
+  Endpoint endpoint() const { return listener_->LocalEndpoint(); }
+
+ private:
+  std::vector<ServerConnection::Ptr> connections_;
+  std::unique_ptr<Listener> listener_;
+};
+
+}  // namespace basilvalve::net
--- a/Source/UnitTests/Platform/store_stand_in.cc
+++ b/Source/UnitTests/Platform/store_stand_in.cc
@@ -21,23 +21,12 @@
 
 }  // namespace
 
-StoreStandIn::StoreStandIn(net::EventLoop* loop) : loop_(loop) {
-  auto listener = net::Listener::Create(
-      loop, {"127.0.0.1", 0}, Millis(2000),
-      [this](std::unique_ptr<net::Socket> socket) {
-        auto connection = std::make_shared<net::ServerConnection>(
-            loop_, std::move(socket), net::ServerLimits(),
-            [this](const net::ServerConnection::Ptr& caller,
-                   const net::ServerRequest& request) {
-              OnCall(caller, request);
-            },
-            [](net::ServerConnection*) {});
-        connections_.push_back(connection);
-        connection->Start();
-      });
-  REQUIRE(listener);
-  listener_ = std::move(*listener);
-}
+StoreStandIn::StoreStandIn(net::EventLoop* loop)
+    : loop_(loop),
+      server_(loop, [this](const net::ServerConnection::Ptr& caller,
+                           const net::ServerRequest& request) {
+        OnCall(caller, request);
+      }) {}
 
 void StoreStandIn::Put(const std::string& key, const std::string& value) {
   items_[key] = value;
--- a/Source/UnitTests/Platform/store_stand_in.h
+++ b/Source/UnitTests/Platform/store_stand_in.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "Core/Net/server_connection.h"
+#include "UnitTests/Core/Net/test_server.h"
 
 namespace basilvalve::platform_adapter {
 
@@ -16,7 +16,7 @@
  public:
   explicit StoreStandIn(net::EventLoop* loop);
 
-  net::Endpoint endpoint() const { return listener_->LocalEndpoint(); }
+  net::Endpoint endpoint() const { return server_.endpoint(); }
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   /// Watches from before now are told that the history is gone.
@@ -54,8 +54,6 @@
   void Wake();
 
   net::EventLoop* loop_;
-  std::unique_ptr<net::Listener> listener_;
-  std::vector<net::ServerConnection::Ptr> connections_;
   std::map<std::string, std::string> items_;
   std::map<std::string, uint64_t> revisions_;
   std::map<std::string, uint64_t> leased_;
@@ -67,6 +65,8 @@
   uint64_t next_lease_ = 100;
   uint64_t calls_ = 0;
   Mood mood_ = Mood::kWell;
+  // Last, so that no call comes before the rest is there.
+  net::TestServer server_;
 };
 
 }  // namespace basilvalve::platform_adapter
