A prompt that is too long for the objective is served late where nobody waits

Change: Decide separates a call's own reading from its wait; a call that is late by its own length alone is served if it waits for nobody and the pace is comfortable. The test failed on the policy before.

--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -18,6 +18,9 @@
 constexpr double kComfortPaceShare = 0.6;
 constexpr double kPaceShare = 0.9;
 constexpr double kUrgentPaceShare = 1.2;
+// A prompt that is too long for the objective even alone waits no longer than
+// this share of it for others.
+constexpr double kLongPromptWaitShare = 0.25;
 // Another region has to be better by this much, against forth and back.
 constexpr double kAwayMargin = 0.8;
 // A refused caller is asked back while an answer can still be in time: after
@@ -42,8 +45,8 @@
   double reading_ms = offer.room.read_tokens_per_ms > 0
                           ? input.tokens_to_read / offer.room.read_tokens_per_ms
                           : 0;
-  forecast.first_byte = input.hop + offer.room.wait +
-                        Micros(static_cast<int64_t>(reading_ms * 1000));
+  forecast.own_reading = Micros(static_cast<int64_t>(reading_ms * 1000));
+  forecast.first_byte = input.hop + offer.room.wait + forecast.own_reading;
   forecast.finish = forecast.first_byte +
                     Micros(static_cast<int64_t>(offer.room.token_pace_us *
                                                 input.output_tokens));
@@ -54,6 +57,20 @@
   return forecast;
 }
 
+// Whether the call is late wherever it runs, because of its own length, and
+// nobody else would be: a late answer is better than none.
+bool IsLongButWelcome(const Forecast& forecast, const DispatchInput& input) {
+  auto target = static_cast<double>(input.to_target.count());
+  auto wait =
+      static_cast<double>((forecast.first_byte - forecast.own_reading).count());
+  return static_cast<double>(forecast.own_reading.count()) >
+             kTargetShare * target &&
+         wait <= kLongPromptWaitShare * target &&
+         static_cast<double>(forecast.finish.count()) <=
+             kLimitShare * static_cast<double>(input.to_limit.count()) &&
+         forecast.pace_strain <= kComfortPaceShare;
+}
+
 // When there will be room: once the work that is ahead too much has been done.
 Millis RetryAfter(Micros over, const DispatchInput& input) {
   Micros base = input.to_target > Micros::zero()
@@ -98,7 +115,8 @@
   const Forecast& chosen = is_away ? best_forecast : *input.local;
   if (input.is_model_call &&
       StrainOf(chosen, input, kRefuseTargetShare, kLimitShare,
-               input.rank == 0 ? kUrgentPaceShare : kPaceShare) > 1) {
+               input.rank == 0 ? kUrgentPaceShare : kPaceShare) > 1 &&
+      !IsLongButWelcome(chosen, input)) {
     Micros over = chosen.first_byte - std::max(input.to_target, Micros::zero());
     return {DispatchKind::kRefuse, {}, RetryAfter(over, input), chosen};
   }
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -149,8 +149,11 @@
   }
   forecast.tokens_ahead = static_cast<double>(load.unread_tokens);
   forecast.own_tokens = unread_tokens;
-  double first = profile.base_us + (forecast.tokens_ahead + unread_tokens) /
-                                       profile.read_tokens_per_ms * 1000;
+  double us_per_token = 1000 / profile.read_tokens_per_ms;
+  forecast.own_reading =
+      Micros(static_cast<int64_t>(unread_tokens * us_per_token));
+  double first = profile.base_us +
+                 (forecast.tokens_ahead + unread_tokens) * us_per_token;
   double pace =
       upstream.token_pace_us > 0 && now - upstream.pace_at < kPaceLifetime
           ? upstream.token_pace_us
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -30,6 +30,8 @@
   Micros finish{0};
   /// Prompt tokens to be read for the call itself.
   double own_tokens = 0;
+  /// Time to read them on an idle upstream.
+  Micros own_reading{0};
   /// Prompt tokens of others that are read before.
   double tokens_ahead = 0;
   /// Pace of tokens against the slowest that every kind of call bears.
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -435,6 +435,33 @@
   }
 }
 
+TEST_CASE("a prompt too long for the objective is served late, if others can") {
+  struct Row {
+    const char* name;
+    Millis own_reading;
+    Millis first_byte;
+    double pace;
+    DispatchKind expected;
+  };
+  const std::vector<Row> rows = {
+      {"alone on an idle upstream", Millis(900), Millis(920), 0.2,
+       DispatchKind::kLocal},
+      {"others wait there", Millis(900), Millis(1200), 0.2,
+       DispatchKind::kRefuse},
+      {"the engines are busy", Millis(900), Millis(920), 0.7,
+       DispatchKind::kRefuse},
+      {"late for others' prompts, not its own", Millis(100), Millis(920), 0.2,
+       DispatchKind::kRefuse},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    DispatchInput input = ModelCall();
+    input.local = Expect(row.first_byte, Millis(1500), row.pace);
+    input.local->own_reading = row.own_reading;
+    CHECK(Decide(input).kind == row.expected);
+  }
+}
+
 TEST_CASE("callers that are refused together come back apart") {
   std::set<Millis> times;
   for (int i = 0; i < 20; ++i) {
