Fault soak of the event-driven path

Change: Source/BasilvalveSoak plays six instances in two regions and eight upstreams over loopback from one seed: upstreams that are silent, slow, cut, garble, refuse, lose answers or drop idle connections, crash and have their address used again, leave in order; instances that are killed or stopped; desired states that change; callers that leave. A ledger judges: twice, told not run, another's answer, streams, work after a caller left, answers at the limit, calls lost by a stop. The plain dialect moved from the tests to Fakes, so that both use one copy.

--- a/Source/UnitTests/Core/Edge/edge_bench.h
+++ b/Source/UnitTests/Core/Edge/edge_bench.h
@@ -6,22 +6,11 @@
 #include <vector>
 
 #include "Core/Edge/edge_node.h"
+#include "Fakes/plain_dialect.h"
 #include "UnitTests/Core/Net/test_server.h"
 
 namespace basilvalve::edge {
 
-/// A dialect with names of its own, so that the tests of the path know no
-/// platform.
-class PlainDialect : public CallDialect {
- public:
-  Result<CallTerms> ReadCall(const net::MessageHead& head) const override;
-  bool PassesOn(const std::string& header) const override;
-  void AppendSendLines(const SendTerms& terms,
-                       std::string* head) const override;
-  AnswerTerms ReadAnswer(const net::MessageHead& head,
-                         const RequestId& id) const override;
-};
-
 /// An upstream that answers as a test says.
 class ScriptedUpstream {
  public:
