A call looks for its upstream among a few that are drawn for it

Cause: on the grown sites 25 instances of a region know of each other's sends what beats told most of a second ago. All sent to the upstream that looked least loaded: prompts of 1,000 to 4,000 tokens were forecast to take 133 ms to the first event (median) and took 396 ms; explains came late or were refused. Change: a call considers an instance's fair share of the usable upstreams, two at least, drawn by a hash of the call, and those that keep its prompt's pieces. An upstream whose breaker is open is not asked for pieces. A caller's hint of the output counts as much as its kind's mean; reading where many calls run counts against an upstream.

--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -31,13 +31,13 @@
   input.hop = parts->region_round_trip;
   input.spread = parts->random->Unit();
   if (input.is_model_call) {
+    parts->registry->KindOf(contract.service, route.priority,
+                            terms.size.tokens_out, contract.time_left);
+    const flow::ServiceProfile& profile =
+        parts->registry->ProfileOf(contract.service);
     input.output_tokens =
-        parts->registry
-            ->KindOf(contract.service, route.priority, terms.size.tokens_out,
-                     contract.time_left)
-            .output_tokens;
-    input.tolerated_pace_us =
-        parts->registry->ProfileOf(contract.service).ToleratedPaceUs();
+        profile.ExpectedOutput(route.priority, terms.size.hinted_out);
+    input.tolerated_pace_us = profile.ToleratedPaceUs();
   }
   return input;
 }
@@ -69,6 +69,9 @@
     flow::PlacementNeed need{
         &route,          &contract.traits,    contract.service, &terms.size,
         &progress.tried, input.output_tokens, input.to_target,  input.to_limit};
+    need.instances =
+        parts->fleet->Live(parts->fleet->self().region, now).size() + 1;
+    need.draw = parts->random->Next();
     plan.local = parts->placer->Choose(need, now);
     if (plan.local) {
       input.local = plan.local->forecast;
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -19,6 +19,12 @@
 constexpr Millis kPaceLifetime{2000};
 // A slow pace counts this much when upstreams are compared.
 constexpr double kPaceWeight = 0.5;
+// What is known of neighbours' sends is as old as their last beats: if all
+// instances took the least loaded of all upstreams, they would take the same
+// one. The better of two drawn is enough to even out the load.
+constexpr size_t kLeastSample = 2;
+// Time that other calls lose counts like time of the call itself.
+constexpr double kBurdenWeight = 1;
 // Objectives count at least this much, so that a call that is late already
 // still goes where it is served soonest.
 constexpr Micros kLeastObjective{Millis(100)};
@@ -32,24 +38,46 @@
   return Hash64(upstream.record.id.value(), key);
 }
 
+// The first `n` of the candidates in the order that the key gives them.
+std::vector<const Upstream*> Drawn(uint64_t key, size_t n,
+                                   std::vector<const Upstream*> candidates) {
+  n = std::min(n, candidates.size());
+  std::partial_sort(
+      candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n),
+      candidates.end(), [key](const Upstream* left, const Upstream* right) {
+        return Rank(key, *left) > Rank(key, *right);
+      });
+  candidates.resize(n);
+  return candidates;
+}
+
 // The upstreams that should keep the pieces, best first, whatever their load:
 // every instance of the region comes to the same answer.
 std::vector<const Upstream*> KeepersOf(
     uint64_t key, const std::vector<UpstreamRegistry::Ptr>& candidates) {
-  std::vector<const Upstream*> ranked;
+  std::vector<const Upstream*> lasting;
   for (const auto& upstream : candidates) {
     if (!upstream->record.is_draining) {
-      ranked.push_back(upstream.get());
+      lasting.push_back(upstream.get());
     }
   }
-  size_t n = std::min(kKeepers, ranked.size());
-  std::partial_sort(
-      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(n),
-      ranked.end(), [key](const Upstream* left, const Upstream* right) {
-        return Rank(key, *left) > Rank(key, *right);
-      });
-  ranked.resize(n);
-  return ranked;
+  return Drawn(key, kKeepers, std::move(lasting));
+}
+
+// Among how many upstreams one call looks for the best: an instance's fair
+// share.
+size_t SampleSize(size_t upstreams, size_t instances) {
+  return std::max(kLeastSample, (upstreams + instances - 1) / instances);
+}
+
+bool Holds(const std::vector<const Upstream*>& list, const Upstream* upstream) {
+  return std::find(list.begin(), list.end(), upstream) != list.end();
+}
+
+// Whether another upstream may copy pieces of prompts from this one: one that
+// fails would hold up who asks it.
+bool CanLend(const Upstream& upstream, Instant now) {
+  return !upstream.is_misplaced && upstream.breaker.Allows(now);
 }
 
 uint32_t SharedTokens(const CallSize& size) {
@@ -69,7 +97,7 @@
              static_cast<double>(target.count()) +
          static_cast<double>(forecast.finish.count()) /
              static_cast<double>(limit.count()) +
-         kPaceWeight * forecast.pace_strain;
+         kPaceWeight * forecast.pace_strain + kBurdenWeight * forecast.burden;
 }
 
 }  // namespace
@@ -81,9 +109,13 @@
   UpstreamRegistry::Ptr source;
   uint32_t source_tokens = 0;
   uint32_t shared_tokens = 0;
+
+  bool Has(const Upstream& upstream) const {
+    return source.get() == &upstream || Holds(keepers, &upstream);
+  }
 };
 
-Placer::Keeping Placer::WhoKeeps(const PlacementNeed& need) const {
+Placer::Keeping Placer::WhoKeeps(const PlacementNeed& need, Instant now) const {
   Keeping keeping;
   if (!need.size->IsModelCall()) {
     return keeping;
@@ -91,7 +123,7 @@
   const auto& all = registry_->OfService(need.service);
   keeping.shared_tokens = SharedTokens(*need.size);
   for (const auto& upstream : all) {
-    if (upstream->is_misplaced) {
+    if (!CanLend(*upstream, now)) {
       continue;
     }
     uint32_t kept = upstream->cache.KeptTokens(need.size->parts);
@@ -125,8 +157,7 @@
   }
   placement.unread_tokens = tokens_in > kept ? tokens_in - kept : 0;
   double unread = placement.unread_tokens + kFetchWeight * fetched;
-  bool is_keeper = std::find(keeping.keepers.begin(), keeping.keepers.end(),
-                             upstream.get()) != keeping.keepers.end();
+  bool is_keeper = Holds(keeping.keepers, upstream.get());
   if (is_keeper && kept < keeping.shared_tokens) {
     // Somebody has to read them; the instances agree on who does.
     unread -= keeping.shared_tokens - kept;
@@ -152,8 +183,8 @@
   double us_per_token = 1000 / profile.read_tokens_per_ms;
   forecast.own_reading =
       Micros(static_cast<int64_t>(unread_tokens * us_per_token));
-  double first = profile.base_us +
-                 (forecast.tokens_ahead + unread_tokens) * us_per_token;
+  double first =
+      profile.base_us + (forecast.tokens_ahead + unread_tokens) * us_per_token;
   double pace =
       upstream.token_pace_us > 0 && now - upstream.pace_at < kPaceLifetime
           ? upstream.token_pace_us
@@ -162,6 +193,11 @@
   forecast.finish =
       Micros(static_cast<int64_t>(first + pace * need.output_tokens));
   forecast.pace_strain = pace / profile.ToleratedPaceUs();
+  if (Micros longest = profile.LongestLimit(); longest > Micros::zero()) {
+    forecast.burden = load.running *
+                      static_cast<double>(forecast.own_reading.count()) /
+                      static_cast<double>(longest.count());
+  }
   return forecast;
 }
 
@@ -188,19 +224,33 @@
              kMemoryShare * static_cast<double>(need.traits->memory_tokens);
 }
 
+bool Placer::IsUsable(const PlacementNeed& need, const Upstream& upstream,
+                      Instant now) const {
+  return registry_->MayBeSent(upstream, now) &&
+         !need.tried->contains(upstream.record.id) &&
+         HasRoom(need, upstream, now) &&
+         (!upstream.IsCold(now) || cold_gate_(cold_context_, upstream));
+}
+
 std::optional<Placement> Placer::Choose(const PlacementNeed& need,
                                         Instant now) const {
   const auto& all = registry_->OfService(need.service);
-  Keeping keeping = WhoKeeps(need);
+  std::vector<const Upstream*> usable;
+  for (const auto& upstream : all) {
+    if (IsUsable(need, *upstream, now)) {
+      usable.push_back(upstream.get());
+    }
+  }
+  size_t n = SampleSize(usable.size(), need.instances);
+  usable = Drawn(need.draw, n, std::move(usable));
+  Keeping keeping = WhoKeeps(need, now);
   std::optional<Placement> best;
   double least_strain = 0;
   for (const auto& upstream : all) {
-    if (!registry_->MayBeSent(*upstream, now) ||
-        need.tried->contains(upstream->record.id) ||
-        !HasRoom(need, *upstream, now)) {
-      continue;
-    }
-    if (upstream->IsCold(now) && !cold_gate_(cold_context_, *upstream)) {
+    bool is_candidate =
+        Holds(usable, upstream.get()) ||
+        (keeping.Has(*upstream) && IsUsable(need, *upstream, now));
+    if (!is_candidate) {
       continue;
     }
     Placement placement = Consider(need, upstream, keeping, now);
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -21,6 +21,11 @@
   /// Time left of the response-time objective and of the limit.
   Micros to_target{0};
   Micros to_limit{0};
+  /// Instances of the region that place calls on the same upstreams, this one
+  /// included.
+  size_t instances = 1;
+  /// Drawn for this call.
+  uint64_t draw = 0;
 };
 
 /// An expectation for one upstream or region.
@@ -36,6 +41,9 @@
   double tokens_ahead = 0;
   /// Pace of tokens against the slowest that every kind of call bears.
   double pace_strain = 0;
+  /// How much its reading holds up the calls that run there, together, as a
+  /// share of the longest limit.
+  double burden = 0;
 };
 
 /// An upstream with what a call may expect of it.
@@ -51,9 +59,9 @@
 /// Whether a cold upstream may take one more call from this instance.
 using ColdGateFn = bool (*)(void* context, const Upstream& upstream);
 
-/// Chooses by forecast, with a preference for the upstreams that keep the
-/// shared pieces of the prompt. Pure but for what the registry learned. Not
-/// thread safe.
+/// Chooses by forecast among some upstreams that are drawn for the call and
+/// those that keep the shared pieces of its prompt. Pure but for what the
+/// registry learned. Not thread safe.
 class Placer {
  public:
   Placer(UpstreamRegistry* registry, void* cold_context, ColdGateFn cold_gate)
@@ -67,7 +75,9 @@
  private:
   struct Keeping;
 
-  Keeping WhoKeeps(const PlacementNeed& need) const;
+  Keeping WhoKeeps(const PlacementNeed& need, Instant now) const;
+  bool IsUsable(const PlacementNeed& need, const Upstream& upstream,
+                Instant now) const;
   Placement Consider(const PlacementNeed& need,
                      const UpstreamRegistry::Ptr& upstream,
                      const Keeping& keeping, Instant now) const;
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -47,7 +47,10 @@
 /// The size of a model call; all zero for a plain call.
 struct CallSize {
   uint32_t tokens_in = 0;
+  /// The most that it may generate.
   uint32_t tokens_out = 0;
+  /// The caller's estimate of what it will generate; 0 if it gave none.
+  uint32_t hinted_out = 0;
   /// In order; the last belongs to this call or its session alone.
   std::vector<PromptPart> parts;
 
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -1,6 +1,7 @@
 #include "Core/Flow/upstream_registry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -18,6 +19,8 @@
 constexpr double kSlowestTokensPerMs = 4;
 constexpr double kFastestTokensPerMs = 400;
 
+// Weight of one call in the share that is refused.
+constexpr double kRefusalWeight = 0.05;
 // A token's time before any was seen: a step of a half-full batch.
 constexpr double kInitialPaceUs = 8'000;
 // Share of the declared output that is expected before a call has ended.
@@ -197,6 +200,16 @@
   return it->second;
 }
 
+void UpstreamRegistry::LearnRefusal(const ServiceName& service, int rank,
+                                    bool is_refused) {
+  auto& kinds = ProfileOf(service).kinds;
+  auto it = kinds.find(rank);
+  if (it != kinds.end()) {
+    double& share = it->second.refused_share;
+    share += kRefusalWeight * ((is_refused ? 1.0 : 0.0) - share);
+  }
+}
+
 void UpstreamRegistry::LearnOutput(const ServiceName& service, int rank,
                                    double tokens) {
   auto& kinds = ProfileOf(service).kinds;
@@ -207,6 +220,23 @@
   }
 }
 
+double ServiceProfile::ExpectedOutput(int rank, uint32_t hinted_tokens) const {
+  auto it = kinds.find(rank);
+  if (it == kinds.end()) {
+    return hinted_tokens;
+  }
+  double mean = it->second.output_tokens;
+  return hinted_tokens > 0 ? std::sqrt(mean * hinted_tokens) : mean;
+}
+
+Micros ServiceProfile::LongestLimit() const {
+  Micros longest{0};
+  for (const auto& [rank, kind] : kinds) {
+    longest = std::max(longest, kind.limit);
+  }
+  return longest;
+}
+
 double ServiceProfile::ToleratedPaceUs() const {
   double tolerated = std::numeric_limits<double>::max();
   for (const auto& [rank, kind] : kinds) {
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -18,6 +18,8 @@
   double output_tokens = 0;
   /// How long such a call may take.
   Micros limit{0};
+  /// Share of the calls of late that were refused.
+  double refused_share = 0;
 };
 
 /// What was learned of a service by serving it.
@@ -33,6 +35,11 @@
   /// By rank of the route.
   std::map<int, KindProfile> kinds;
 
+  /// Output to expect of a call of the kind: callers' hints are right at the
+  /// median but often far off, so the kind's mean counts as much.
+  double ExpectedOutput(int rank, uint32_t hinted_tokens) const;
+  /// The longest limit of its kinds; zero if there is none.
+  Micros LongestLimit() const;
   /// The slowest pace, microseconds a token, at which calls of every kind still
   /// end within their limits.
   double ToleratedPaceUs() const;
@@ -89,6 +96,8 @@
   /// What is known of a kind; made from what a call declares on first use.
   KindProfile& KindOf(const ServiceName& service, int rank,
                       double declared_tokens, Micros limit);
+  /// A call of the kind was refused, or not.
+  void LearnRefusal(const ServiceName& service, int rank, bool is_refused);
   /// A whole call of the kind generated this many tokens.
   void LearnOutput(const ServiceName& service, int rank, double tokens);
   /// A first event came after `took`, with `tokens` to read before it.
