--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -35,6 +35,7 @@
                             terms.size.tokens_out, contract.time_left);
     const flow::ServiceProfile& profile =
         parts->registry->ProfileOf(contract.service);
+    input.refused_share = profile.kinds.at(route.priority).refused_share;
     input.output_tokens =
         profile.ExpectedOutput(route.priority, terms.size.hinted_out);
     input.tolerated_pace_us = profile.ToleratedPaceUs();
@@ -87,6 +88,11 @@
     }
   }
   plan.verdict = flow::Decide(input);
+  if (input.is_model_call && progress.sends == 0 && !contract.is_from_peer) {
+    parts->registry->LearnRefusal(
+        contract.service, route.priority,
+        plan.verdict.kind == flow::DispatchKind::kRefuse);
+  }
   // Work that another instance decided to place here is not refused for being
   // late: its sender knows no better place, and a refusal costs a round trip.
   if (plan.verdict.kind == flow::DispatchKind::kRefuse && plan.local &&
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -16,8 +16,8 @@
 // Shares of the tolerated pace: where another region is looked for, where less
 // urgent calls are refused, and where all are.
 constexpr double kComfortPaceShare = 0.6;
-constexpr double kPaceShare = 0.9;
-constexpr double kUrgentPaceShare = 1.2;
+constexpr double kPaceShare = 0.8;
+constexpr double kUrgentPaceShare = 3;
 // A prompt that is too long for the objective even alone waits no longer than
 // this share of it for others.
 constexpr double kLongPromptWaitShare = 0.25;
@@ -26,6 +26,9 @@
 // A refused caller is asked back while an answer can still be in time: after
 // this share of its objective, and up to as much again by its draw.
 constexpr double kRetryTargetShare = 0.3;
+// With all calls of a kind refused, a caller is asked back after this share of
+// the time that it has left.
+constexpr double kRetryLimitShare = 0.25;
 constexpr Micros kLateRetryAfter{Millis(400)};
 
 // A forecast against what the call may take: below 1 it is in time.
@@ -79,6 +82,13 @@
                           static_cast<double>(input.to_target.count())))
                     : kLateRetryAfter;
   base = std::max(base, over);
+  // While many are refused there is no room soon: what comes back at once is
+  // refused again.
+  base = std::max(base,
+                  Micros(static_cast<int64_t>(
+                      kRetryLimitShare * input.refused_share *
+                      static_cast<double>(
+                          std::max(input.to_limit, Micros::zero()).count()))));
   return std::chrono::ceil<Millis>(
       base + Micros(static_cast<int64_t>(input.spread *
                                          static_cast<double>(base.count()))));
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -29,6 +29,8 @@
   std::vector<RegionOffer> offers;
   /// Time there and back to another region.
   Micros hop{0};
+  /// Share of such calls that were refused of late.
+  double refused_share = 0;
   /// In [0, 1), drawn for this call: callers that are refused together do not
   /// come back together.
   double spread = 0;
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -330,6 +330,31 @@
   CHECK(*times.begin() >= Millis(700));
 }
 
+TEST_CASE("while most are refused, callers are asked back later") {
+  DispatchInput input = ModelCall();
+  input.local = Expect(Millis(900), Millis(2400));
+  Millis calm = Decide(input).retry_after;
+  input.refused_share = 0.9;
+  Millis crowded = Decide(input).retry_after;
+  CHECK(calm < Millis(300));
+  CHECK(crowded > Millis(600));
+  // Callers come back after a third of their time at the latest.
+  CHECK(crowded <= input.to_limit / 3);
+}
+
+TEST_CASE("the share that is refused is learned by kind") {
+  UpstreamRegistry registry{RegionId("north")};
+  registry.KindOf(kModels, 0, 100, Seconds(3));
+  registry.KindOf(kModels, 1, 1000, Seconds(12));
+  for (int i = 0; i < 100; ++i) {
+    registry.LearnRefusal(kModels, 1, i % 2 == 0);
+    registry.LearnRefusal(kModels, 0, false);
+  }
+  const auto& kinds = registry.ProfileOf(kModels).kinds;
+  CHECK(kinds.at(0).refused_share == 0);
+  CHECK(kinds.at(1).refused_share == Approx(0.5).margin(0.1));
+}
+
 TEST_CASE("the pace that every kind bears") {
   UpstreamRegistry registry{RegionId("north")};
   registry.KindOf(kModels, 0, 100, Seconds(3));
