The fewer the news, the fewer upstreams a call looks at

Change: the sample is the usable upstreams over one and twice the sends that neighbours may have made to each since their last beats: own rate of sends times the age of their news.

--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -43,6 +43,19 @@
   return input;
 }
 
+// Neighbours get as many calls as this instance and send them to the same
+// upstreams.
+double UntoldSends(EdgeParts* parts, const ServiceName& service, Instant now) {
+  size_t upstreams = parts->registry->OfService(service).size();
+  if (upstreams == 0) {
+    return 0;
+  }
+  double silence_s =
+      static_cast<double>(parts->fleet->NearSilence(now).count()) / 1e6;
+  return parts->registry->ProfileOf(service).sends_per_second * silence_s /
+         static_cast<double>(upstreams);
+}
+
 }  // namespace
 
 int UrgencyOf(const flow::Route& route) {
@@ -70,8 +83,7 @@
     flow::PlacementNeed need{
         &route,          &contract.traits,    contract.service, &terms.size,
         &progress.tried, input.output_tokens, input.to_target,  input.to_limit};
-    need.instances =
-        parts->fleet->Live(parts->fleet->self().region, now).size() + 1;
+    need.untold_sends = UntoldSends(parts, contract.service, now);
     need.draw = parts->random->Next();
     plan.local = parts->placer->Choose(need, now);
     if (plan.local) {
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -107,6 +107,7 @@
   upstream.own.Add(attempt_.share);
   upstream.last_given = now;
   upstream.breaker.OnStart(now);
+  parts_->registry->OnSend(contract_.service, now);
   parts_->cold_gate->OnSent(upstream.record.id, now);
   terms.expected = upstream.record.id;
   terms.time_left = TimeLeft();
--- a/Source/Core/Flow/fleet_view.cc
+++ b/Source/Core/Flow/fleet_view.cc
@@ -135,6 +135,17 @@
   return others;
 }
 
+Micros FleetView::NearSilence(Instant now) const {
+  Micros sum{0};
+  for (const auto& [id, known] : known_) {
+    if (known.record.region == self_.region && IsLive(known, now) &&
+        known.heard_at) {
+      sum += now - *known.heard_at;
+    }
+  }
+  return sum;
+}
+
 size_t FleetView::LiveCount(Instant now) const {
   size_t n = 1;
   for (const auto& [id, known] : known_) {
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -81,6 +81,9 @@
   std::vector<InstanceRecord> Live(const RegionId& region, Instant now) const;
   /// Everyone to whom beats go.
   std::vector<InstanceRecord> Others() const;
+  /// How long ago the other live instances of this region last told of their
+  /// work, added up.
+  Micros NearSilence(Instant now) const;
   /// Live instances with this one.
   size_t LiveCount(Instant now) const;
   /// Other regions with live instances and their room for the service.
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -1,6 +1,7 @@
 #include "Core/Flow/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Core/Common/hash.h"
 
@@ -23,6 +24,9 @@
 // instances took the least loaded of all upstreams, they would take the same
 // one. The better of two drawn is enough to even out the load.
 constexpr size_t kLeastSample = 2;
+// Two sends that may have gone to each upstream make a look at a fifth of them
+// as good as at all.
+constexpr double kUntoldWeight = 2;
 // Time that other calls lose counts like time of the call itself.
 constexpr double kBurdenWeight = 1;
 // Objectives count at least this much, so that a call that is late already
@@ -64,10 +68,12 @@
   return Drawn(key, kKeepers, std::move(lasting));
 }
 
-// Among how many upstreams one call looks for the best: an instance's fair
-// share.
-size_t SampleSize(size_t upstreams, size_t instances) {
-  return std::max(kLeastSample, (upstreams + instances - 1) / instances);
+// Among how many upstreams one call looks for the best: the more is unknown of
+// them, the fewer.
+size_t SampleSize(size_t upstreams, double untold_sends) {
+  double n =
+      static_cast<double>(upstreams) / (1 + kUntoldWeight * untold_sends);
+  return std::max(kLeastSample, static_cast<size_t>(std::ceil(n)));
 }
 
 bool Holds(const std::vector<const Upstream*>& list, const Upstream* upstream) {
@@ -241,7 +247,7 @@
       usable.push_back(upstream.get());
     }
   }
-  size_t n = SampleSize(usable.size(), need.instances);
+  size_t n = SampleSize(usable.size(), need.untold_sends);
   usable = Drawn(need.draw, n, std::move(usable));
   Keeping keeping = WhoKeeps(need, now);
   std::optional<Placement> best;
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -21,9 +21,9 @@
   /// Time left of the response-time objective and of the limit.
   Micros to_target{0};
   Micros to_limit{0};
-  /// Instances of the region that place calls on the same upstreams, this one
-  /// included.
-  size_t instances = 1;
+  /// Calls that neighbours may have sent to one upstream since they last told
+  /// of their work.
+  double untold_sends = 0;
   /// Drawn for this call.
   uint64_t draw = 0;
 };
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -19,6 +19,8 @@
 constexpr double kSlowestTokensPerMs = 4;
 constexpr double kFastestTokensPerMs = 400;
 
+// Time over which the rate of sends is taken.
+constexpr double kSendRateSeconds = 1;
 // Weight of one call in the share that is refused.
 constexpr double kRefusalWeight = 0.05;
 // A token's time before any was seen: a step of a half-full batch.
@@ -139,6 +141,15 @@
          upstream.breaker.Allows(now);
 }
 
+void UpstreamRegistry::OnSend(const ServiceName& service, Instant now) {
+  ServiceProfile& profile = ProfileOf(service);
+  double s = static_cast<double>((now - profile.last_send).count()) / 1e6;
+  profile.sends_per_second =
+      profile.sends_per_second * std::exp(-s / kSendRateSeconds) +
+      1 / kSendRateSeconds;
+  profile.last_send = now;
+}
+
 void UpstreamRegistry::OnPromptSent(Upstream& upstream,
                                     const std::vector<PromptPart>& parts,
                                     uint32_t unread_tokens,
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -28,6 +28,9 @@
   double read_tokens_per_ms = 0;
   /// Time to an answer that needs no reading, microseconds.
   double base_us = 0;
+  /// Calls that this instance sends a second, of late.
+  double sends_per_second = 0;
+  Instant last_send;
   /// Mean prompt tokens that a call has to read.
   double mean_unread_tokens = 0;
   /// Mean time for one generated token, microseconds.
@@ -80,6 +83,8 @@
   const std::map<UpstreamId, Ptr>& all() const { return by_id_; }
   /// Whether a request may be sent to it now, apart from its load.
   bool MayBeSent(const Upstream& upstream, Instant now) const;
+  /// A call was sent to one of the service's upstreams.
+  void OnSend(const ServiceName& service, Instant now);
   /// A prompt was sent to the upstream, which then keeps its pieces.
   void OnPromptSent(Upstream& upstream, const std::vector<PromptPart>& parts,
                     uint32_t unread_tokens, uint64_t memory_tokens);
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -180,6 +180,17 @@
   CHECK(view.Live(north, kStart + Seconds(5)).size() == 1);
 }
 
+TEST_CASE("how old the news of the region's other instances is, added up") {
+  FleetView view(Instance("me", "north"));
+  CHECK(view.NearSilence(kStart) == Micros::zero());
+  view.OnBeat(BeatFrom(Instance("one", "north"), 1), kStart);
+  view.OnBeat(BeatFrom(Instance("two", "north"), 1), kStart + Millis(100));
+  view.OnBeat(BeatFrom(Instance("far", "south"), 1), kStart);
+  CHECK(view.NearSilence(kStart + Millis(300)) == Millis(500));
+  // Who is silent for long sends nothing.
+  CHECK(view.NearSilence(kStart + Millis(1250)) == Millis(1150));
+}
+
 TEST_CASE(
     "a restart whose clock went back is believed once the old is silent") {
   FleetView view(Instance("me", "north"));
