--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -24,9 +24,9 @@
 // instances took the least loaded of all upstreams, they would take the same
 // one. The better of two drawn is enough to even out the load.
 constexpr size_t kLeastSample = 2;
-// Two sends that may have gone to each upstream make a look at a fifth of them
+// One send that may have gone to each upstream makes a look at a fifth of them
 // as good as at all.
-constexpr double kUntoldWeight = 2;
+constexpr double kUntoldWeight = 4;
 // Time that other calls lose counts like time of the call itself.
 constexpr double kBurdenWeight = 1;
 // Objectives count at least this much, so that a call that is late already
