An instance logs whom it no longer hears, and hears again

The soak's calls that run once were kept from a second run by max_attempts alone. The soak's routes allow two attempts.

--- a/Source/BasilvalveSoak/fleet.cc
+++ b/Source/BasilvalveSoak/fleet.cc
@@ -22,7 +22,8 @@
   route.target = Millis(800);
   route.pause_target = Millis(600);
   route.shares = {{kService, 1}};
-  route.max_attempts = kind == CallKind::kOnce ? 1 : 2;
+  // Also for calls that run once: only their kind keeps them from a second run.
+  route.max_attempts = 2;
   route.is_resumable = kind == CallKind::kStream;
   route.kind = kind == CallKind::kOnce    ? flow::CallKind::kNonIdempotent
                : kind == CallKind::kAgain ? flow::CallKind::kIdempotent
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -390,8 +390,26 @@
   swept_at_ = now;
 }
 
+void EdgeNode::NoteSilence() {
+  std::set<InstanceId> silent = fleet_.Silent(loop_->Now());
+  for (const InstanceId& id : silent) {
+    if (!silent_.contains(id)) {
+      LogEvent(LogLevel::kInfo, "fleet", "instance_silent")
+          .With("instance", id.value());
+    }
+  }
+  for (const InstanceId& id : silent_) {
+    if (!silent.contains(id)) {
+      LogEvent(LogLevel::kInfo, "fleet", "instance_heard_or_gone")
+          .With("instance", id.value());
+    }
+  }
+  silent_ = std::move(silent);
+}
+
 void EdgeNode::Sweep() {
   NoteStall();
+  NoteSilence();
   upstream_pool_.Sweep();
   peer_pool_.Sweep();
   fleet_.Sweep(loop_->Now());
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -80,6 +80,7 @@
   uint64_t MemoryTokensOf(flow::UpstreamTag32 tag) const;
   flow::Beat MakeBeat(bool with_loads);
   void NoteStall();
+  void NoteSilence();
   void Sweep();
   void CheckDrained();
   static bool ColdGateThunk(void* context, const flow::Upstream& upstream);
@@ -103,6 +104,8 @@
   std::unordered_map<net::ServerConnection*, net::ServerConnection::Ptr>
       connections_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
+  // Other instances that were silent at the last sweep.
+  std::set<InstanceId> silent_;
   net::Timer beat_timer_;
   net::Timer sweep_timer_;
   net::Timer drain_timer_;
--- a/Source/Core/Flow/fleet_view.cc
+++ b/Source/Core/Flow/fleet_view.cc
@@ -127,6 +127,16 @@
   return live;
 }
 
+std::set<InstanceId> FleetView::Silent(Instant now) const {
+  std::set<InstanceId> silent;
+  for (const auto& [id, known] : known_) {
+    if (!IsLive(known, now)) {
+      silent.insert(id);
+    }
+  }
+  return silent;
+}
+
 std::vector<InstanceRecord> FleetView::Others() const {
   std::vector<InstanceRecord> others;
   for (const auto& [id, known] : known_) {
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,8 @@
                                       Instant now) const;
   /// Other instances of a region that were heard of lately.
   std::vector<InstanceRecord> Live(const RegionId& region, Instant now) const;
+  /// Instances that are registered or were heard, and are not live now.
+  std::set<InstanceId> Silent(Instant now) const;
   /// Everyone to whom beats go.
   std::vector<InstanceRecord> Others() const;
   /// How long ago the other live instances of this region last told of their
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -170,7 +170,10 @@
   CHECK(view.Entries(north, kStart).size() == 2);
   // A registration alone counts for a while only.
   CHECK(view.Entries(north, kStart + Seconds(3)).size() == 1);
+  CHECK(view.Silent(kStart).empty());
+  CHECK(view.Silent(kStart + Seconds(3)) == std::set{other.id});
   CHECK(view.OnBeat(BeatFrom(other, 1), kStart + Seconds(3)));
+  CHECK(view.Silent(kStart + Seconds(4)).empty());
   CHECK(view.Entries(north, kStart + Seconds(4)).size() == 2);
   CHECK_FALSE(view.OnBeat(BeatFrom(other, 1), kStart + Seconds(4)));
   CHECK(view.Entries(north, kStart + Seconds(5)).size() == 1);
