--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -13,12 +13,10 @@
 constexpr int kMostFailedConnects = 4;
 // Time for a passed-on call's refusal to come back before its own limit.
 constexpr Millis kHopSlack{60};
-
 // What did not run for a reason other than load may come back this soon.
 constexpr Millis kUnrunRetryAfter{200};
 // With less time left than a round trip in the region takes, no repeat helps.
 constexpr Millis kLeastRepeatTime{20};
-
 }  // namespace
 
 Exchange::Exchange(EdgeParts* parts, net::ServerConnection::Ptr caller,
@@ -190,6 +188,12 @@
   attempt_.share = flow::LoadShare();
 }
 
+void Exchange::NoteEnd(bool has_failed) {
+  if (attempt_.upstream) {
+    attempt_.upstream->failures.Note(has_failed, parts_->loop->Now());
+  }
+}
+
 bool Exchange::OnHead(const net::MessageHead& head) {
   Instant now = parts_->loop->Now();
   AnswerTerms answer = parts_->dialect->ReadAnswer(head, terms_.id);
@@ -335,6 +339,7 @@
     return;
   }
   int status = attempt_.head.status;
+  NoteEnd(/*has_failed=*/status >= 500);
   if (stream_begun_ && status != 200) {
     // The caller holds part of a stream: another answer cannot end it.
     OnMayHaveRun("resume_refused");
@@ -392,6 +397,7 @@
   attempt_.is_active = false;
   silence_timer_.Cancel();
   attempt_.connection = nullptr;
+  NoteEnd(/*has_failed=*/true);
   if (attempt_.upstream) {
     attempt_.upstream->breaker.OnFailure(parts_->loop->Now());
     parts_->upstream_pool->Forget(attempt_.endpoint);
@@ -529,6 +535,7 @@
   }
   progress_.tried.insert(attempt_.upstream->record.id);
   attempt_.upstream->breaker.OnFailure(now);
+  NoteEnd(/*has_failed=*/true);
   if (Plan().verdict.kind == flow::DispatchKind::kRefuse) {
     return;
   }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -67,6 +67,8 @@
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
   void ReleaseShare();
+  /// The upstream ended the attempt well or not.
+  void NoteEnd(bool has_failed);
   void OnFirstEvent();
   void PassStream(std::string_view bytes);
   void BeginStream(const net::MessageHead& head);
--- a/Source/Core/Flow/upstream.cc
+++ b/Source/Core/Flow/upstream.cc
@@ -1,6 +1,7 @@
 #include "Core/Flow/upstream.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Core/Common/hash.h"
 
@@ -23,6 +24,13 @@
     .half_open_probes = 2,
 };
 
+// Weight of one call in the share that fails: some failures in a row show, one
+// alone hardly does.
+constexpr double kFailureNoteWeight = 0.2;
+// After this time half of the share is forgotten, so that an upstream that is
+// well again gets calls again.
+constexpr double kFailureHalfLifeUs = 2'500'000;
+
 }  // namespace
 
 UpstreamTag32 TagOf(const UpstreamId& id) {
@@ -49,6 +57,17 @@
   held_tokens += other.held_tokens;
 }
 
+void FailureShare::Note(bool has_failed, Instant now) {
+  double before = At(now);
+  share_ = before + kFailureNoteWeight * ((has_failed ? 1.0 : 0.0) - before);
+  at_ = now;
+}
+
+double FailureShare::At(Instant now) const {
+  auto age = static_cast<double>((now - at_).count());
+  return share_ * std::exp2(-age / kFailureHalfLifeUs);
+}
+
 uint32_t PromptCacheView::KeptTokens(
     const std::vector<PromptPart>& parts) const {
   uint32_t tokens = 0;
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -77,6 +77,20 @@
   Instant at;
 };
 
+/// Share of an upstream's calls that failed of late; what was seen long ago
+/// counts less. Not thread safe.
+class FailureShare {
+ public:
+  /// A call ended there.
+  void Note(bool has_failed, Instant now);
+  /// In [0, 1].
+  double At(Instant now) const;
+
+ private:
+  double share_ = 0;
+  Instant at_;
+};
+
 /// Which prompt pieces an upstream keeps, least recently used first out. An
 /// estimate from what this instance sent. Not thread safe.
 class PromptCacheView {
@@ -118,6 +132,8 @@
   std::map<InstanceId, Told> neighbours;
   std::optional<ReportedLoad> reported;
   admission::Breaker breaker;
+  /// Failures between successes, which do not open the breaker.
+  FailureShare failures;
   PromptCacheView cache;
   /// Time for one generated token, from the pauses between events; 0 until
   /// seen. Microseconds.
--- a/Source/UnitTests/Core/Flow/placement_test.cc
+++ b/Source/UnitTests/Core/Flow/placement_test.cc
@@ -247,6 +247,30 @@
   CHECK_FALSE(bench.Choose()->prompt_source);
 }
 
+// Found on the recorded day inc-edb0 of Cera: workers that failed nearly half
+// of their calls got as many as the others, since successes kept their breakers
+// closed.
+TEST_CASE("an upstream that fails part of its calls gets fewer") {
+  Bench bench;
+  bench.size.parts.clear();
+  bench.Add("u1");
+  bench.Add("u2");
+  auto grey = bench.registry.Find(UpstreamId("u1"));
+  auto well = bench.registry.Find(UpstreamId("u2"));
+  for (int i = 0; i < 10; ++i) {
+    grey->failures.Note(i % 2 == 0, kStart);
+    grey->breaker.OnStart(kStart);
+    i % 2 == 0 ? grey->breaker.OnFailure(kStart) : grey->breaker.OnSuccess();
+    well->failures.Note(false, kStart);
+  }
+  // The well one has some work already.
+  well->own.unread_tokens = 6000;
+  CHECK(bench.Choose()->upstream == well);
+  // It is tried again in time.
+  bench.now = kStart + Seconds(15);
+  CHECK(bench.Choose()->upstream == grey);
+}
+
 TEST_CASE("long prompts are read where they hold up the fewest calls") {
   Bench bench;
   bench.traits.batch_slots = 64;
