--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -137,13 +137,23 @@
                                {"x-deadline-ms", "1200.5"},
                                {"X-Token-Usage", "1460,80"},
                                {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                               {"X-Length-Hint", "64"},
                                {"Last-Event-Id", "12"}}));
   REQUIRE(terms);
+  CHECK(terms->size.hinted_out == 64);
   CHECK(terms->patience == Millis(1200));
   CHECK(terms->size.tokens_in == 1460);
   REQUIRE(terms->size.parts.size() == 2);
   CHECK(terms->size.parts[0].id == 0x5c1e07a2);
   CHECK(terms->resume_after == 12);
+  // A hint that cannot be read is none, and the call is served.
+  for (const char* hint : {"", "many", "-3", "1e9", "99999999999"}) {
+    INFO(hint);
+    auto odd = dialect.ReadCall(HeadOf(
+        {{"Host", "h"}, {"X-Request-Id", "r1"}, {"X-Length-Hint", hint}}));
+    REQUIRE(odd);
+    CHECK(odd->size.hinted_out == 0);
+  }
   CHECK_FALSE(dialect.ReadCall(HeadOf({{"Host", "h"}})));
   CHECK_FALSE(dialect.ReadCall(
       HeadOf({{"Host", "h"}, {"X-Request-Id", "a"}, {"x-request-id", "b"}})));
