Own interface on the event loop, with TLS: plaintext callers hold no thread

Its client sent some requests twice, took cut chunks for whole, and did not tell "never connected" from "broken", for which each claim's call opened a probing connection first.

Change: Core/Http serves and calls through Core/Net; TLS is a session of OpenSSL on the same non-blocking socket. Handlers, which may wait, keep a bounded pool; silent, idle and handshaking connections hold no thread. A resumption that finds nobody is kept from being reported as "not run".

--- a/Source/BasilvalveBench/stream_load.cc
+++ b/Source/BasilvalveBench/stream_load.cc
@@ -88,7 +88,7 @@
                int64_t number, Samples* samples) {
   SteadyClock clock;
   TimingSink sink(clock.Now());
-  http::Execute(endpoint, BuildRequest(load, true, number), {}, false, &sink);
+  http::Execute(endpoint, BuildRequest(load, true, number), {}, &sink);
   std::lock_guard lock(samples->mutex);
   samples->cut += sink.done ? 0 : 1;
   samples->first_ms.push_back(sink.first_ms);
--- a/Source/Basilvalved/main.cc
+++ b/Source/Basilvalved/main.cc
@@ -52,11 +52,7 @@
   });
   bool finished = (*node)->AwaitDrained();
   waiter.join();
-  // All is finished and nothing is kept, so the process ends here. Taking the
-  // HTTP server apart would wait for its threads, one of which never ends once
-  // a caller has spoken plaintext to the TLS port.
-  std::fflush(nullptr);
-  std::_Exit(finished ? 0 : kCutOffExit);
+  return finished ? 0 : kCutOffExit;
 }
 
 int Main(int argc, char** argv) {
--- a/Source/Core/Gateway/upstream_caller.cc
+++ b/Source/Core/Gateway/upstream_caller.cc
@@ -181,15 +181,17 @@
   auto remaining = std::chrono::duration_cast<Millis>(call.Remaining(begin));
   http::CallTimeouts timeouts{Millis(parts_->settings->connect_timeout_ms),
                               remaining, remaining};
-  http::CallReport report =
-      http::Execute(target->endpoint, BuildRequest(call, engine_id), timeouts,
-                    /*prove_unsent=*/!call.idempotent, &state);
+  http::CallReport report = http::Execute(
+      target->endpoint, BuildRequest(call, engine_id), timeouts, &state);
   for (int i = 0; i < kMaxResumes && !state.Whole(report) && state.CanResume();
        ++i) {
     parts_->journal->Step(call.id, "upstream", "resume", report.detail);
     http::Request resume = BuildResume(engine_id, state.PrepareResume());
-    report = http::Execute(target->endpoint, resume, timeouts,
-                           /*prove_unsent=*/false, &state);
+    report = http::Execute(target->endpoint, resume, timeouts, &state);
+    if (report.end == http::CallEnd::kNotSent) {
+      // That nothing more was sent says nothing about what already ran.
+      report.end = http::CallEnd::kBroken;
+    }
   }
   Instant now = parts_->clock->Now();
   observe::LogSpan(call.trace, "upstream", call.id.value(), now - begin,
--- a/Source/Core/Http/http_client.cc
+++ b/Source/Core/Http/http_client.cc
@@ -1,174 +1,111 @@
 #include "Core/Http/http_client.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/net/addrinfo.h>
-#include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/selector.h>
-
 #include <algorithm>
-#include <array>
-#include <cstdlib>
-#include <istream>
+
+#include "Core/Net/client_connection.h"
 
 namespace basilvalve::http {
 namespace {
 
-using SteadyTime = std::chrono::steady_clock;
-
-constexpr size_t kReadBytes = 16384;
 // Bound on how late a cancellation is noticed while no byte arrives.
-constexpr std::chrono::milliseconds kPollSlice{50};
+constexpr Millis kPollSlice{50};
 
-/// Bridges cxxtools' signals to a ResponseSink.
-class ClientCall : public cxxtools::Connectable {
- public:
-  ClientCall(ResponseSink* sink, cxxtools::http::Client* client) : sink_(sink) {
-    cxxtools::connect(client->headerReceived, *this, &ClientCall::OnHeader);
-    cxxtools::connect(client->bodyAvailable, *this,
-                      &ClientCall::OnBodyAvailable);
-    cxxtools::connect(client->replyFinished, *this, &ClientCall::OnFinished);
+std::string Serialize(const Endpoint& endpoint, const Request& request) {
+  std::string text = request.method + " " + request.path;
+  if (!request.query.empty()) {
+    text += "?" + request.query;
   }
-
-  bool finished() const { return finished_; }
-  bool refused() const { return refused_; }
-  bool head_received() const { return head_received_; }
-  SteadyTime::time_point last_arrival() const { return last_arrival_; }
-
-  /// Whether as many bytes arrived as were announced, and whether any were.
-  bool LengthMatches() const {
-    return !announced_ || body_bytes_ == content_length_;
+  text += " HTTP/1.1\r\nHost: " + endpoint.Text() + "\r\n";
+  for (const Header& it : request.headers) {
+    text += it.name + ": " + it.value + "\r\n";
   }
-  bool announced() const { return announced_; }
+  text += "Content-Length: " + std::to_string(request.body.size()) +
+          "\r\nConnection: close\r\n\r\n";
+  return text + request.body;
+}
 
-  void TakeHead(cxxtools::http::Client& client) {
-    if (head_received_) {
-      return;
+/// Hands one answer to its sink and keeps how it ended.
+class ClientCall : public net::ClientObserver {
+ public:
+  ClientCall(const net::EventLoop* loop, ResponseSink* sink)
+      : loop_(loop), sink_(sink), last_arrival_(loop->Now()) {}
+
+  bool OnHead(const net::MessageHead& head) override {
+    last_arrival_ = loop_->Now();
+    report.head_received = true;
+    report.length_verified = head.content_length.has_value() || head.chunked;
+    ResponseHead handed;
+    handed.status = head.status;
+    for (const net::HeaderField& it : head.fields) {
+      handed.headers.push_back({it.name, it.value});
     }
-    head_received_ = true;
-    last_arrival_ = SteadyTime::now();
-    ResponseHead head;
-    head.status = static_cast<int>(client.header().httpReturnCode());
-    for (auto it = client.header().begin(); it != client.header().end(); ++it) {
-      head.headers.push_back({it->first, it->second});
+    if (!sink_->OnHead(handed)) {
+      Finish(CallEnd::kCancelled);
     }
-    std::string_view length = FindHeader(head.headers, "Content-Length");
-    bool chunked = !FindHeader(head.headers, "Transfer-Encoding").empty();
-    announced_ = !length.empty() && !chunked;
-    content_length_ =
-        announced_ ? std::strtoull(std::string(length).c_str(), nullptr, 10)
-                   : 0;
-    refused_ = !sink_->OnHead(head);
+    return true;
   }
 
- private:
-  void OnHeader(cxxtools::http::Client& client) { TakeHead(client); }
-
-  size_t OnBodyAvailable(cxxtools::http::Client& client) {
-    TakeHead(client);
-    last_arrival_ = SteadyTime::now();
-    std::array<char, kReadBytes> buf;
-    size_t taken = 0;
-    std::streamsize ready = client.in().rdbuf()->in_avail();
-    while (ready > 0) {
-      std::streamsize want = std::min<std::streamsize>(ready, kReadBytes);
-      std::streamsize n = client.in().readsome(buf.data(), want);
-      if (n <= 0) {
-        break;
-      }
-      taken += static_cast<size_t>(n);
-      Deliver({buf.data(), static_cast<size_t>(n)});
-      ready = client.in().rdbuf()->in_avail();
+  void OnBody(std::string_view bytes) override {
+    last_arrival_ = loop_->Now();
+    if (!finished_ && !sink_->OnBody(bytes)) {
+      Finish(CallEnd::kCancelled);
+    }
+  }
+
+  void OnDone() override { Finish(CallEnd::kComplete); }
+
+  void OnFault(net::ClientFault fault) override {
+    switch (fault) {
+      case net::ClientFault::kNoConnection:
+        Finish(CallEnd::kNotSent, "no connection");
+        return;
+      case net::ClientFault::kClosed:
+        Finish(CallEnd::kBroken, "the connection ended within the answer");
+        return;
+      case net::ClientFault::kGarbled:
+        Finish(CallEnd::kBroken, "what came is no answer");
+        return;
     }
-    return taken;
   }
 
-  void Deliver(std::string_view piece) {
-    body_bytes_ += piece.size();
-    if (!refused_) {
-      refused_ = !sink_->OnBody(piece);
+  /// The first end counts.
+  void Finish(CallEnd end, const char* detail = "") {
+    if (!finished_) {
+      finished_ = true;
+      report.end = end;
+      report.detail = detail;
     }
   }
 
-  // Also signalled on failure, when the header still holds its defaults: the
-  // head must not be read from it before endExecute has shown that all went
-  // well.
-  void OnFinished(cxxtools::http::Client& /*client*/) { finished_ = true; }
+  bool finished() const { return finished_; }
+  Instant last_arrival() const { return last_arrival_; }
+
+  CallReport report;
 
+ private:
+  const net::EventLoop* loop_;
   ResponseSink* sink_;
+  Instant last_arrival_;
   bool finished_ = false;
-  bool refused_ = false;
-  bool head_received_ = false;
-  bool announced_ = false;
-  uint64_t content_length_ = 0;
-  uint64_t body_bytes_ = 0;
-  SteadyTime::time_point last_arrival_ = SteadyTime::now();
 };
 
-/// Whether a connection can be made; the connection is closed again.
-bool CanConnect(const Endpoint& endpoint, std::chrono::milliseconds timeout,
-                std::string* why) {
-  try {
-    cxxtools::net::TcpSocket socket;
-    socket.setTimeout(
-        cxxtools::Milliseconds(static_cast<double>(timeout.count())));
-    socket.connect(cxxtools::net::AddrInfo(endpoint.ip, endpoint.port));
-    return true;
-  } catch (const std::exception& ex) {
-    *why = ex.what();
-    return false;
-  }
-}
-
-void FillRequest(const Request& from, cxxtools::http::Request* to) {
-  to->method(from.method);
-  // The library sends its own query parameters with some methods only; as a
-  // part of the URL they are always sent.
-  to->url(from.query.empty() ? from.path : from.path + "?" + from.query);
-  for (const Header& it : from.headers) {
-    to->addHeader(it.name.c_str(), it.value.c_str());
-  }
-  to->body() << from.body;
-}
-
-CallEnd EndOfFinished(const ClientCall& call, CallReport* report) {
-  if (call.refused()) {
-    return CallEnd::kCancelled;
-  }
-  report->length_verified = call.announced();
-  if (!call.head_received() || !call.LengthMatches()) {
-    report->detail = "answer shorter than announced";
-    return CallEnd::kBroken;
-  }
-  return CallEnd::kComplete;
-}
-
-/// Waits for events until the call ends; returns how it ended.
-CallEnd Pump(cxxtools::http::Client* client, ClientCall* waiting,
-             const CallTimeouts& timeouts, ResponseSink* sink,
-             CallReport* report) {
-  ClientCall& call = *waiting;
-  SteadyTime::time_point deadline = SteadyTime::now() + timeouts.total;
-  while (!call.finished()) {
-    SteadyTime::time_point limit =
-        std::min(deadline, call.last_arrival() + timeouts.idle);
-    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        limit - SteadyTime::now());
-    if (left.count() <= 0) {
-      report->detail = "timed out";
-      return CallEnd::kTimedOut;
+/// Serves the loop until the call has ended, its time is up or its sink has
+/// enough.
+void Pump(net::EventLoop* loop, ClientCall* call, const CallTimeouts& timeouts,
+          ResponseSink* sink) {
+  Instant deadline = loop->Now() + timeouts.total;
+  while (!call->finished()) {
+    Instant limit = std::min(deadline, call->last_arrival() + timeouts.idle);
+    auto left = std::chrono::ceil<Millis>(limit - loop->Now());
+    if (left <= Millis::zero()) {
+      call->Finish(CallEnd::kTimedOut, "timed out");
+    } else if (sink->Cancelled()) {
+      call->Finish(CallEnd::kCancelled);
+    } else {
+      loop->RunUntil([call] { return call->finished(); },
+                     std::min(left, kPollSlice));
     }
-    if (call.refused() || sink->Cancelled()) {
-      return CallEnd::kCancelled;
-    }
-    client->wait(cxxtools::Milliseconds(
-        static_cast<double>(std::min(left, kPollSlice).count())));
   }
-  client->endExecute();
-  // An answer without a body skips the earlier signals.
-  call.TakeHead(*client);
-  return EndOfFinished(call, report);
 }
 
 class BufferSink : public ResponseSink {
@@ -195,30 +132,15 @@
 }  // namespace
 
 CallReport Execute(const Endpoint& endpoint, const Request& request,
-                   const CallTimeouts& timeouts, bool prove_unsent,
-                   ResponseSink* sink) {
-  CallReport report;
-  if (prove_unsent && !CanConnect(endpoint, timeouts.connect, &report.detail)) {
-    return report;
-  }
-  // The library's client sends a request a second time, on a new connection,
-  // when a connection that was open before the request closes without an
-  // answer. Only a client that was never connected sends it once, so each call
-  // makes a new one and connections are neither opened ahead nor kept.
-  cxxtools::Selector selector;
-  cxxtools::http::Client client(selector, endpoint.ip, endpoint.port);
-  ClientCall call(sink, &client);
-  try {
-    cxxtools::http::Request out;
-    FillRequest(request, &out);
-    client.beginExecute(out);
-    report.end = Pump(&client, &call, timeouts, sink, &report);
-  } catch (const std::exception& ex) {
-    report.detail = ex.what();
-    report.end = call.refused() ? CallEnd::kCancelled : CallEnd::kBroken;
-  }
-  report.head_received = call.head_received();
-  return report;
+                   const CallTimeouts& timeouts, ResponseSink* sink) {
+  net::EventLoop loop;
+  ClientCall call(&loop, sink);
+  auto connection = net::ClientConnection::Open(
+      &loop, {endpoint.ip, endpoint.port}, timeouts.connect, timeouts.idle);
+  connection->Send(Serialize(endpoint, request), &call);
+  Pump(&loop, &call, timeouts, sink);
+  connection->Close();
+  return call.report;
 }
 
 BufferedResponse ExecuteBuffered(const Endpoint& endpoint,
@@ -227,8 +149,7 @@
                                  size_t max_body) {
   BufferedResponse response;
   BufferSink sink(&response, max_body);
-  response.report =
-      Execute(endpoint, request, timeouts, /*prove_unsent=*/false, &sink);
+  response.report = Execute(endpoint, request, timeouts, &sink);
   return response;
 }
 
--- a/Source/Core/Http/http_client.h
+++ b/Source/Core/Http/http_client.h
@@ -55,14 +55,10 @@
 };
 
 /// Runs one call on a connection of its own and returns when it has ended; the
-/// request is sent at most once. With `prove_unsent`, reachability is tried
-/// first on a second connection, and a failure of that is reported as kNotSent.
-/// Without it a refused connection is kBroken too, since the library does not
-/// tell the two apart. Thread safe. Pre: the endpoint's address is numeric.
-/// Throws nothing.
+/// request is sent at most once. Thread safe. Pre: the endpoint's address is
+/// numeric. Throws nothing.
 CallReport Execute(const Endpoint& endpoint, const Request& request,
-                   const CallTimeouts& timeouts, bool prove_unsent,
-                   ResponseSink* sink);
+                   const CallTimeouts& timeouts, ResponseSink* sink);
 
 /// An answer held whole.
 struct BufferedResponse {
--- a/Source/Core/Http/http_server.h
+++ b/Source/Core/Http/http_server.h
@@ -49,7 +49,6 @@
 /// connection.
 struct ServerSettings {
   Endpoint endpoint;
-  unsigned min_threads = 4;
   unsigned max_threads = 64;
   size_t max_body_bytes = 1 << 20;
   std::chrono::milliseconds read_timeout{10000};
--- a/Source/Core/Net/event_loop.h
+++ b/Source/Core/Net/event_loop.h
@@ -12,7 +12,7 @@
 
 /// Runs callbacks of sockets and timers on the thread that calls Run. Time is
 /// the machine's boot time, which also counts while the machine is suspended.
-/// Not thread safe.
+/// Not thread safe, but for Post, Stop and Now.
 class EventLoop : public Clock {
  public:
   EventLoop();
@@ -25,12 +25,12 @@
   /// Serves until `done` holds or `most` has passed; returns whether it holds.
   /// For tests and tools. Not thread safe.
   bool RunUntil(const std::function<bool()>& done, Millis most);
-  /// Makes Run return after the current callback. Not thread safe.
+  /// Makes Run return after the current callback. Thread safe.
   void Stop();
   /// Boot time. Thread safe.
   Instant Now() const override;
-  /// Calls `fn` once, from the loop, after the callbacks that run now. Not
-  /// thread safe.
+  /// Calls `fn` once, from the loop, after the callbacks that run now. Thread
+  /// safe.
   void Post(std::function<void()> fn);
   /// Calls `fn` for each of the signals. Not thread safe. Call once.
   void OnSignal(const std::vector<int>& signals,
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -103,7 +103,11 @@
         Refuse(431, "Request Header Fields Too Large");
         return;
       case ParseFault::kBodyTooLarge:
-        Refuse(413, "Content Too Large");
+        if (limits_.hands_on_oversized) {
+          HandOn(/*body_too_large=*/true);
+        } else {
+          Refuse(413, "Content Too Large");
+        }
         return;
     }
     if (!parser_.has_head()) {
@@ -119,21 +123,30 @@
     if (!parser_.is_done()) {
       return;
     }
-    handling_ = true;
-    timer_.Cancel();
-    ServerRequest request{std::move(parser_.head()), std::move(body_),
-                          loop_->Now()};
-    body_.clear();
-    parser_.Reset();
-    parser_used_ = false;
-    head_seen_ = false;
-    on_request_(self, std::move(request));
+    HandOn(/*body_too_large=*/false);
   }
   if (unparsed_.empty()) {
     unparsed_.shrink_to_fit();
   }
 }
 
+void ServerConnection::HandOn(bool body_too_large) {
+  handling_ = true;
+  timer_.Cancel();
+  ServerRequest request{std::move(parser_.head()), std::move(body_),
+                        loop_->Now(), body_too_large};
+  body_.clear();
+  parser_.Reset();
+  parser_used_ = false;
+  head_seen_ = false;
+  if (body_too_large) {
+    // What follows belongs to the body: no later request can be told from it.
+    request.body.clear();
+    close_when_idle_ = true;
+  }
+  on_request_(shared_from_this(), std::move(request));
+}
+
 void ServerConnection::OnHead() {
   head_seen_ = true;
   // The body may take as long as a silent connection may last.
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -18,6 +18,9 @@
   uint64_t body_bytes = uint64_t{4} * 1024 * 1024;
   Millis header_timeout{3000};
   Millis idle_timeout{15000};
+  // A request whose body is too large is handed on without it, as the last of
+  // its connection, instead of being refused here.
+  bool hands_on_oversized = false;
 };
 
 /// A request that was read whole.
@@ -26,6 +29,8 @@
   std::string body;
   /// When its last byte was read.
   Instant arrived;
+  // The body passed the limit and was not kept.
+  bool body_too_large = false;
 };
 
 /// Reads requests and writes their answers in order. Lives as long as a
@@ -57,6 +62,9 @@
   /// Ends the connection so that the current answer does not look whole. Not
   /// thread safe.
   void Abort();
+  /// Ends the connection at once, also in the middle of an answer; whoever
+  /// gives it is told that the caller has gone. Not thread safe.
+  void Cut() { Drop(/*gone=*/true); }
   /// The next answer is the last. Not thread safe.
   void SetClosing() { close_when_idle_ = true; }
   /// The same, and closes the connection at once if it has nothing in hand.
@@ -78,6 +86,7 @@
   void Consume(std::string_view bytes);
   void ParsePending();
   void OnHead();
+  void HandOn(bool body_too_large);
   void Refuse(int status, std::string_view reason);
   void Flush();
   void OnWritten();
--- a/Source/Core/Net/socket.cc
+++ b/Source/Core/Net/socket.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "Core/Net/asio_parts.h"
+#include "Core/Net/tls_session.h"
 
 namespace basilvalve::net {
 
@@ -71,6 +72,7 @@
 struct Socket::Impl {
   explicit Impl(tcp::socket socket) : stream(std::move(socket)) {}
   tcp::socket stream;
+  std::unique_ptr<TlsSession> tls;
   std::function<void(bool)> on_connect;
   std::function<void()> on_readable;
   std::function<void()> on_writable;
@@ -120,7 +122,15 @@
   return std::make_unique<Socket>(impl);
 }
 
+void Socket::StartTls(const TlsContext& context) {
+  impl_->tls =
+      std::make_unique<TlsSession>(context, impl_->stream.native_handle());
+}
+
 IoResult Socket::Read(std::span<char> into) {
+  if (impl_->tls != nullptr) {
+    return impl_->tls->Read(into);
+  }
   error_code ec;
   size_t n =
       impl_->stream.read_some(asio::buffer(into.data(), into.size()), ec);
@@ -131,6 +141,9 @@
 }
 
 IoResult Socket::Write(std::string_view bytes) {
+  if (impl_->tls != nullptr) {
+    return impl_->tls->Write(bytes);
+  }
   error_code ec;
   size_t n =
       impl_->stream.write_some(asio::buffer(bytes.data(), bytes.size()), ec);
@@ -146,8 +159,14 @@
   if (waiting) {
     return;
   }
+  if (impl_->tls != nullptr && impl_->tls->has_pending()) {
+    asio::post(impl_->stream.get_executor(),
+               [impl = impl_] { Fire(&impl->on_readable); });
+    return;
+  }
+  bool for_room = impl_->tls != nullptr && impl_->tls->read_waits_for_room();
   impl_->stream.async_wait(
-      tcp::socket::wait_read,
+      for_room ? tcp::socket::wait_write : tcp::socket::wait_read,
       [impl = impl_](const error_code&) { Fire(&impl->on_readable); });
 }
 
@@ -163,6 +182,9 @@
 }
 
 void Socket::ShutdownWrite() {
+  if (impl_->tls != nullptr) {
+    impl_->tls->ShutdownWrite();
+  }
   error_code ec;
   impl_->stream.shutdown(tcp::socket::shutdown_send, ec);
 }
--- a/Source/Core/Net/socket.h
+++ b/Source/Core/Net/socket.h
@@ -10,6 +10,8 @@
 
 #include "Core/Common/result.h"
 #include "Core/Net/event_loop.h"
+#include "Core/Net/io_result.h"
+#include "Core/Net/tls_context.h"
 
 namespace basilvalve::net {
 
@@ -25,13 +27,6 @@
   static Result<Endpoint> Parse(std::string_view text);
 };
 
-enum class IoStatus { kDone, kBlocked, kEof, kReset };
-
-struct IoResult {
-  IoStatus status = IoStatus::kDone;
-  size_t bytes = 0;
-};
-
 /// A TCP stream. Callbacks run from the loop and never after Close or the
 /// destructor. Not thread safe.
 class Socket {
@@ -48,6 +43,9 @@
                                          Millis dead_after,
                                          std::function<void(bool)> done);
 
+  /// Everything from here on is encrypted, with the handshake at its start.
+  /// Pre: nothing was read or written. Not thread safe.
+  void StartTls(const TlsContext& context);
   /// Reads what is there. Not thread safe.
   IoResult Read(std::span<char> into);
   /// Writes what fits. Not thread safe.
