A call leaves a region whose upstreams fail for one where they do not

Cause: an upstream's share of failed calls counted only among the upstreams of its region.

Change: a forecast carries the share of failures, beats tell the mean of a region, and dispatch weighs it as placement does. It is no ground to refuse. Beat format 4.

Test: "a call leaves a region whose upstreams fail for one where they do not" failed first.

--- a/Source/Core/Edge/beat_codec.cc
+++ b/Source/Core/Edge/beat_codec.cc
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 // First element of each datagram; another one is another format.
-constexpr int kFormat = 3;
+constexpr int kFormat = 4;
 
 flow::LoadShare ReadLoad(const json& row) {
   flow::LoadShare load;
@@ -24,6 +24,7 @@
   room.wait = Micros(row.at(2).get<int64_t>());
   room.read_tokens_per_ms = row.at(3).get<double>();
   room.token_pace_us = row.at(4).get<double>();
+  room.failing = row.at(5).get<double>();
   return room;
 }
 
@@ -49,7 +50,8 @@
   for (const auto& [service, room] : beat.rooms) {
     rooms.push_back({service.value(), room.upstreams, room.wait.count(),
                      static_cast<float>(room.read_tokens_per_ms),
-                     static_cast<float>(room.token_pace_us)});
+                     static_cast<float>(room.token_pace_us),
+                     static_cast<float>(room.failing)});
   }
   json news = json::array();
   for (const flow::PromptNews& it : beat.news) {
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -317,11 +317,13 @@
     unread[upstream->record.service] +=
         static_cast<double>(registry_.LoadOf(*upstream, now).unread_tokens);
     room.token_pace_us += upstream->token_pace_us;
+    room.failing += upstream->failures.At(now);
     ++room.upstreams;
   }
   for (auto& [service, room] : beat.rooms) {
     room.read_tokens_per_ms = registry_.ProfileOf(service).read_tokens_per_ms;
     room.token_pace_us /= room.upstreams;
+    room.failing /= room.upstreams;
     room.wait = Micros(static_cast<int64_t>(unread[service] / room.upstreams /
                                             room.read_tokens_per_ms * 1000));
   }
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -43,6 +43,14 @@
                    forecast.pace_strain / pace_share});
 }
 
+// What a place is chosen by: in time with room to spare, and not failing. The
+// failures are no ground to refuse: a call may succeed where half of them fail.
+double Reluctance(const Forecast& forecast, const DispatchInput& input) {
+  return StrainOf(forecast, input, kTargetShare, kComfortLimitShare,
+                  kComfortPaceShare) +
+         kFailureWeight * forecast.failing;
+}
+
 Forecast ForecastAway(const RegionOffer& offer, const DispatchInput& input) {
   Forecast forecast;
   double reading_ms = offer.room.read_tokens_per_ms > 0
@@ -57,6 +65,7 @@
       input.tolerated_pace_us > 0
           ? offer.room.token_pace_us / input.tolerated_pace_us
           : 0;
+  forecast.failing = offer.room.failing;
   return forecast;
 }
 
@@ -99,8 +108,7 @@
 DispatchVerdict Decide(const DispatchInput& input) {
   std::optional<double> local;
   if (input.local) {
-    local = StrainOf(*input.local, input, kTargetShare, kComfortLimitShare,
-                     kComfortPaceShare);
+    local = Reluctance(*input.local, input);
     if (*local <= 1) {
       return {DispatchKind::kLocal, {}, {}, *input.local};
     }
@@ -110,11 +118,10 @@
   Forecast best_forecast;
   for (const RegionOffer& offer : input.offers) {
     Forecast forecast = ForecastAway(offer, input);
-    double strain = StrainOf(forecast, input, kTargetShare, kComfortLimitShare,
-                             kComfortPaceShare);
-    if (best == nullptr || strain < away) {
+    double reluctance = Reluctance(forecast, input);
+    if (best == nullptr || reluctance < away) {
       best = &offer;
-      away = strain;
+      away = reluctance;
       best_forecast = forecast;
     }
   }
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -37,6 +37,8 @@
   double read_tokens_per_ms = 0;
   /// Mean time for one generated token, microseconds; 0 if none was seen.
   double token_pace_us = 0;
+  /// Mean share of calls that failed at its upstreams of late.
+  double failing = 0;
 };
 
 /// What an instance tells the others now and again.
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -27,9 +27,6 @@
 // One send that may have gone to each upstream makes a look at a fifth of them
 // as good as at all.
 constexpr double kUntoldWeight = 4;
-// An upstream that fails all its calls is as bad a choice as one that uses up
-// objective and limit several times over.
-constexpr double kFailureWeight = 4;
 // Time that other calls lose counts like time of the call itself.
 constexpr double kBurdenWeight = 1;
 // Objectives count at least this much, so that a call that is late already
@@ -106,7 +103,8 @@
              static_cast<double>(target.count()) +
          static_cast<double>(forecast.finish.count()) /
              static_cast<double>(limit.count()) +
-         kPaceWeight * forecast.pace_strain + kBurdenWeight * forecast.burden;
+         kPaceWeight * forecast.pace_strain + kBurdenWeight * forecast.burden +
+         kFailureWeight * forecast.failing;
 }
 
 }  // namespace
@@ -263,8 +261,8 @@
       continue;
     }
     Placement placement = Consider(need, upstream, keeping, now);
-    double strain = StrainOn(need, placement.forecast) +
-                    kFailureWeight * upstream->failures.At(now);
+    placement.forecast.failing = upstream->failures.At(now);
+    double strain = StrainOn(need, placement.forecast);
     bool is_better = !best || strain < least_strain ||
                      (strain == least_strain &&
                       upstream->last_given < best->upstream->last_given);
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -28,6 +28,10 @@
   uint64_t draw = 0;
 };
 
+/// An upstream or region that fails all its calls is as bad a choice as one
+/// that uses up objective and limit several times over.
+inline constexpr double kFailureWeight = 4;
+
 /// An expectation for one upstream or region.
 struct Forecast {
   Micros first_byte{0};
@@ -44,6 +48,8 @@
   /// How much its reading holds up the calls that run there, together, as a
   /// share of the longest limit.
   double burden = 0;
+  /// Share of such calls that failed there of late.
+  double failing = 0;
 };
 
 /// An upstream with what a call may expect of it.
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -408,7 +408,7 @@
   beat.from.peer = far.node->peer_endpoint().Text();
   beat.from.incarnation = 1;
   beat.sequence = 1;
-  beat.rooms[ServiceName("service")] = {1, Micros(0), 50, 0};
+  beat.rooms[ServiceName("service")] = {1, Micros(0), 50, 0, 0};
   near.node->fleet().OnBeat(beat, near.loop.Now());
   auto caller = near.Call(EdgeBench::Request("/once/", "r1", "hello"));
   REQUIRE(near.RunUntil([&] {
@@ -450,7 +450,7 @@
     beat.from.peer = far.node->peer_endpoint().Text();
     beat.from.incarnation = 1;
     beat.sequence = 1;
-    beat.rooms[ServiceName("service")] = {4, Micros(0), 50, 0};
+    beat.rooms[ServiceName("service")] = {4, Micros(0), 50, 0, 0};
     near.node->fleet().OnBeat(beat, near.loop.Now());
   }
   auto caller = near.Call(EdgeBench::Request("/again/", "r1"));
@@ -507,9 +507,11 @@
   beat.sequence = 7;
   beat.loads[flow::TagOf(UpstreamId("u"))] = {1, 2, 3};
   beat.news.push_back({flow::TagOf(UpstreamId("u")), {{1, 2}, {3, 4}}});
+  beat.rooms[ServiceName("s")] = {2, Micros(3), 50, 4, 0.5};
   auto decoded = DecodeBeat(EncodeBeat(beat));
   REQUIRE(decoded);
   CHECK(EncodeBeat(*decoded) == EncodeBeat(beat));
+  CHECK(decoded->rooms.at(ServiceName("s")).failing == 0.5);
   std::string bytes = EncodeBeat(beat);
   Random random(5);
   for (int i = 0; i < 3000; ++i) {
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -331,6 +331,48 @@
   }
 }
 
+TEST_CASE(
+    "a call leaves a region whose upstreams fail for one where they do not") {
+  struct Row {
+    const char* name;
+    double here;
+    double west;
+    double east;
+    DispatchKind expected;
+  };
+  const std::vector<Row> rows = {
+      {"nothing fails", 0, 0, 0, DispatchKind::kLocal},
+      {"one failure here", 0.1, 0, 0, DispatchKind::kLocal},
+      {"half of the calls here", 0.5, 0.5, 0, DispatchKind::kRemote},
+      {"everywhere the same", 0.5, 0.5, 0.5, DispatchKind::kLocal},
+      {"worse elsewhere", 0.4, 0.9, 0.9, DispatchKind::kLocal},
+  };
+  for (const Row& row : rows) {
+    for (bool is_model_call : {true, false}) {
+      INFO(row.name << (is_model_call ? ", model" : ", plain"));
+      DispatchInput input = ModelCall();
+      input.is_model_call = is_model_call;
+      input.local = Expect(Millis(40), Millis(60));
+      input.local->failing = row.here;
+      input.offers = {OfferOf("west", Millis(0)), OfferOf("east", Millis(0))};
+      input.offers[0].room.failing = row.west;
+      input.offers[1].room.failing = row.east;
+      DispatchVerdict verdict = Decide(input);
+      CHECK(verdict.kind == row.expected);
+      if (verdict.kind == DispatchKind::kRemote) {
+        CHECK(verdict.region.value() == "east");
+      }
+    }
+  }
+}
+
+TEST_CASE("no call is refused because upstreams fail") {
+  DispatchInput input = ModelCall();
+  input.local = Expect(Millis(200), Millis(900));
+  input.local->failing = 1;
+  CHECK(Decide(input).kind == DispatchKind::kLocal);
+}
+
 TEST_CASE("callers that are refused together come back apart") {
   std::set<Millis> times;
   for (int i = 0; i < 20; ++i) {
