A resumption after a regular end within an event begins at a whole event

Cause: read in the code. The held part of an event was dropped when a connection broke or an upstream fell silent, not when an upstream ended its answer regularly in the middle of an event: the part stayed in front of the first event of the resumption, and the caller got one event garbled.

Change: each attempt drops it as it begins, whatever ended the one before; the two other places are gone.

Test: "a stream that ends regularly within an event goes on after the last" failed first (event 4 twice, the first of them garbled), passes now.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -171,6 +171,8 @@
   attempt_.sent_at = parts_->loop->Now();
   attempt_.event_at = attempt_.sent_at;
   attempt_.connection = std::move(connection);
+  // Whatever ended the last attempt, this one begins after a whole event.
+  splitter_.DropPartial();
   ++progress_.sends;
   ++runs_;
   attempt_.connection->Send(std::move(bytes), this);
@@ -408,7 +410,6 @@
     on_ended_(this);
     return;
   }
-  splitter_.DropPartial();
   if (!was_sent) {
     --runs_;
     ++failed_connects_;
@@ -540,7 +541,6 @@
     return;
   }
   CancelAttempt();
-  splitter_.DropPartial();
   if (!TryAgain("upstream_silent")) {
     AnswerFailure(502, {}, "upstream_silent");
   }
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -222,6 +222,35 @@
   CHECK(*resume == "3");
 }
 
+// Found while reading: the part of an event before such an end stayed in front
+// of what the resumption brought.
+TEST_CASE(
+    "a stream that ends regularly within an event goes on after the last") {
+  EdgeBench bench;
+  bench.PutStateInForce();
+  int runs = 0;
+  auto script = [&](const Caller& caller, const Request& request) {
+    caller->Write(Upstream::StreamHead(request));
+    std::string events =
+        ++runs == 1 ? Events(1, 3) + "id: 4\nda" : Events(4, 6);
+    caller->Write(Upstream::Chunk(events) + "0\r\n\r\n");
+    caller->EndAnswer(true);
+  };
+  bench.AddUpstream("u1", script);
+  bench.AddUpstream("u2", script);
+  auto caller = bench.Call(EdgeBench::Request("/stream/", "r1"));
+  REQUIRE(bench.RunUntil([&] { return Has(*caller, "\r\n0\r\n\r\n"); }));
+  CHECK_FALSE(Has(*caller,
+                  "id: 4\nda"
+                  "id"));
+  for (int id = 1; id <= 6; ++id) {
+    std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    CHECK(Has(*caller, event));
+    CHECK(caller->text().find("id: " + std::to_string(id)) ==
+          caller->text().rfind("id: " + std::to_string(id)));
+  }
+}
+
 // Found on trouble-1 of a standard day: a stream that broke off and met a
 // failure when it was resumed was ended as if it were whole.
 TEST_CASE("a stream that cannot go on does not look whole") {
