What an answer means is judged by a pure function; an attempt is a part of its own

Change: JudgeAnswer decides from facts; Attempt keeps the account of one send. Unproven, truncated and refused-on-resumption answers now count as failures of their upstream, as broken connections did.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Core/Common/log.h"
+#include "Core/Edge/answer_judgement.h"
 #include "Core/Edge/call_log.h"
 #include "Core/Edge/call_text.h"
 
@@ -17,6 +18,7 @@
 constexpr Millis kUnrunRetryAfter{200};
 // With less time left than a round trip in the region takes, no repeat helps.
 constexpr Millis kLeastRepeatTime{20};
+
 }  // namespace
 
 Exchange::Exchange(EdgeParts* parts, net::ServerConnection::Ptr caller,
@@ -80,34 +82,14 @@
 }
 
 void Exchange::SendHere(const flow::Placement& placement) {
-  Instant now = parts_->loop->Now();
-  flow::Upstream& upstream = *placement.upstream;
-  attempt_ = Attempt();
-  attempt_.upstream = placement.upstream;
-  attempt_.forecast = placement.forecast;
-  attempt_.endpoint = {upstream.record.host, upstream.record.port};
-  attempt_.share.running = 1;
+  attempt_ = Attempt::Here(parts_, placement, contract_.service, terms_.size,
+                           contract_.traits);
   SendTerms terms;
-  if (terms_.size.IsModelCall()) {
-    attempt_.share.unread_tokens = placement.unread_tokens;
-    attempt_.share.held_tokens = terms_.size.tokens_in + terms_.size.tokens_out;
-    parts_->registry->OnPromptSent(upstream, terms_.size.parts,
-                                   placement.unread_tokens,
-                                   contract_.traits.memory_tokens);
-    if (placement.prompt_source) {
-      terms.prompt_source = net::Endpoint{placement.prompt_source->record.host,
-                                          placement.prompt_source->record.port};
-    }
+  if (placement.prompt_source) {
+    terms.prompt_source = net::Endpoint{placement.prompt_source->record.host,
+                                        placement.prompt_source->record.port};
   }
-  if (upstream.own.running == 0) {
-    upstream.heard = now;
-  }
-  upstream.own.Add(attempt_.share);
-  upstream.last_given = now;
-  upstream.breaker.OnStart(now);
-  parts_->registry->OnSend(contract_.service, now);
-  parts_->cold_gate->OnSent(upstream.record.id, now);
-  terms.expected = upstream.record.id;
+  terms.expected = placement.upstream->record.id;
   terms.time_left = TimeLeft();
   terms.urgency = UrgencyOf(*contract_.route);
   terms.resume_after =
@@ -136,10 +118,7 @@
     Place();
     return;
   }
-  attempt_ = Attempt();
-  attempt_.peer = peer.id;
-  attempt_.region = region;
-  attempt_.endpoint = *endpoint;
+  attempt_ = Attempt::Away(peer, *endpoint);
   parts_->fleet->OnSentAway(
       region, contract_.service,
       terms_.size.parts.empty() ? 0 : terms_.size.parts.back().tokens);
@@ -179,23 +158,6 @@
   ArmSilence();
 }
 
-void Exchange::ReleaseShare() {
-  if (!attempt_.upstream) {
-    return;
-  }
-  flow::LoadShare& own = attempt_.upstream->own;
-  own.running -= attempt_.share.running;
-  own.unread_tokens -= attempt_.share.unread_tokens;
-  own.held_tokens -= attempt_.share.held_tokens;
-  attempt_.share = flow::LoadShare();
-}
-
-void Exchange::NoteEnd(bool has_failed) {
-  if (attempt_.upstream) {
-    attempt_.upstream->failures.Note(has_failed, parts_->loop->Now());
-  }
-}
-
 bool Exchange::OnHead(const net::MessageHead& head) {
   Instant now = parts_->loop->Now();
   AnswerTerms answer = parts_->dialect->ReadAnswer(head, terms_.id);
@@ -249,8 +211,7 @@
                                    attempt_.forecast.own_tokens,
                                    now - attempt_.sent_at);
   }
-  attempt_.upstream->own.unread_tokens -= attempt_.share.unread_tokens;
-  attempt_.share.unread_tokens = 0;
+  attempt_.OnPromptRead();
   attempt_.upstream->breaker.OnSuccess();
 }
 
@@ -310,7 +271,7 @@
 
 void Exchange::OnDone() {
   auto self = shared_from_this();
-  ReleaseShare();
+  attempt_.ReleaseShare();
   attempt_.is_active = false;
   silence_timer_.Cancel();
   ConnectionPool* pool =
@@ -322,64 +283,65 @@
   }
   if (attempt_.peer_outcome) {
     progress_.tried_regions.insert(attempt_.region);
-    if (*attempt_.peer_outcome == Outcome::kNotRun) {
-      OnNotRun("peer_refused");
-    } else {
-      OnMayHaveRun("peer_failed");
-    }
-    return;
   }
-  if (attempt_.is_refusal) {
-    if (attempt_.upstream) {
-      attempt_.upstream->breaker.OnNeutral();
-    }
-    OnNotRun("upstream_refused");
-    return;
+  Judgement judgement =
+      JudgeAnswer({attempt_.head.status, attempt_.peer_outcome,
+                   attempt_.is_refusal, attempt_.is_unproven, IsStream(),
+                   stream_begun_, splitter_.has_partial()});
+  switch (judgement.verdict) {
+    case AnswerVerdict::kNotRun:
+      if (attempt_.upstream) {
+        attempt_.upstream->breaker.OnNeutral();
+      }
+      OnNotRun(judgement.why);
+      return;
+    case AnswerVerdict::kMayHaveRun:
+      attempt_.NoteEnd(/*has_failed=*/true, parts_->loop->Now());
+      OnMayHaveRun(judgement.why);
+      return;
+    case AnswerVerdict::kFailed:
+      attempt_.NoteEnd(/*has_failed=*/true, parts_->loop->Now());
+      OnFailedAnswer();
+      return;
+    case AnswerVerdict::kEndStream:
+      attempt_.NoteEnd(/*has_failed=*/false, parts_->loop->Now());
+      EndStream();
+      return;
+    case AnswerVerdict::kPassWhole:
+      attempt_.NoteEnd(/*has_failed=*/false, parts_->loop->Now());
+      AnswerWhole();
+      return;
   }
-  if (attempt_.is_unproven) {
-    OnMayHaveRun("answer_unproven");
-    return;
+}
+
+void Exchange::OnFailedAnswer() {
+  if (attempt_.upstream && !attempt_.has_first) {
+    attempt_.upstream->breaker.OnFailure(parts_->loop->Now());
   }
-  int status = attempt_.head.status;
-  NoteEnd(/*has_failed=*/status >= 500);
-  if (stream_begun_ && status != 200) {
-    // The caller holds part of a stream: another answer cannot end it.
-    OnMayHaveRun("resume_refused");
+  if (IsRepeatable() && TryAgain("upstream_error")) {
     return;
   }
-  if (status >= 500) {
-    if (attempt_.upstream && !attempt_.has_first) {
-      attempt_.upstream->breaker.OnFailure(parts_->loop->Now());
-    }
-    if (IsRepeatable() && TryAgain("upstream_error")) {
-      return;
-    }
-    // 429 and 503 promise that the call did not run; this one did.
-    if (status == 503) {
-      OnMayHaveRun("unexplained_503");
-      return;
-    }
-  }
-  if (stream_begun_ || (IsStream() && status == 200)) {
-    if (splitter_.has_partial()) {
-      OnMayHaveRun("stream_truncated");
-      return;
-    }
-    if (!stream_begun_) {
-      BeginStream(attempt_.head);
-    }
-    parts_->registry->LearnOutput(
-        contract_.service, contract_.route->priority,
-        static_cast<double>(splitter_.events()) *
-            std::max(1U, contract_.traits.tokens_per_event));
-    caller_->Write("0\r\n\r\n");
-    caller_->EndAnswer(request_.head.keep_alive);
-    Finish("done", status, "streamed");
+  // 503 promises that the call did not run; this one did.
+  if (attempt_.head.status == 503) {
+    OnMayHaveRun("unexplained_503");
     return;
   }
   AnswerWhole();
 }
 
+void Exchange::EndStream() {
+  if (!stream_begun_) {
+    BeginStream(attempt_.head);
+  }
+  parts_->registry->LearnOutput(
+      contract_.service, contract_.route->priority,
+      static_cast<double>(splitter_.events()) *
+          std::max(1U, contract_.traits.tokens_per_event));
+  caller_->Write("0\r\n\r\n");
+  caller_->EndAnswer(request_.head.keep_alive);
+  Finish("done", attempt_.head.status, "streamed");
+}
+
 void Exchange::AnswerWhole() {
   bool keep = KeepsAlive();
   std::string_view body;
@@ -395,11 +357,11 @@
   auto self = shared_from_this();
   bool was_sent = fault != net::ClientFault::kNoConnection ||
                   attempt_.connection->has_sent();
-  ReleaseShare();
+  attempt_.ReleaseShare();
   attempt_.is_active = false;
   silence_timer_.Cancel();
   attempt_.connection = nullptr;
-  NoteEnd(/*has_failed=*/true);
+  attempt_.NoteEnd(/*has_failed=*/true, parts_->loop->Now());
   if (attempt_.upstream) {
     attempt_.upstream->breaker.OnFailure(parts_->loop->Now());
     parts_->upstream_pool->Forget(attempt_.endpoint);
@@ -536,7 +498,7 @@
   }
   progress_.tried.insert(attempt_.upstream->record.id);
   attempt_.upstream->breaker.OnFailure(now);
-  NoteEnd(/*has_failed=*/true);
+  attempt_.NoteEnd(/*has_failed=*/true, parts_->loop->Now());
   if (Plan().verdict.kind == flow::DispatchKind::kRefuse) {
     return;
   }
@@ -573,7 +535,7 @@
     return;
   }
   attempt_.is_active = false;
-  ReleaseShare();
+  attempt_.ReleaseShare();
   if (attempt_.upstream && !attempt_.has_first) {
     attempt_.upstream->breaker.OnNeutral();
   }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "Core/Edge/attempt.h"
 #include "Core/Edge/call_planner.h"
 #include "Core/Edge/edge_parts.h"
 #include "Core/Edge/hop_header.h"
@@ -39,39 +40,18 @@
   void OnFault(net::ClientFault fault) override;
 
  private:
-  /// One send and what came of it.
-  struct Attempt {
-    bool is_active = false;
-    flow::UpstreamRegistry::Ptr upstream;
-    InstanceId peer;
-    RegionId region;
-    net::Endpoint endpoint;
-    std::shared_ptr<net::ClientConnection> connection;
-    Instant sent_at;
-    Instant event_at;
-    flow::Forecast forecast;
-    flow::LoadShare share;
-    bool has_first = false;
-    bool is_refusal = false;
-    bool is_unproven = false;
-    /// What a peer said of a call that no upstream answered.
-    std::optional<Outcome> peer_outcome;
-    net::MessageHead head;
-    std::string body;
-  };
-
   void Place();
   CallPlan Plan();
   void SendHere(const flow::Placement& placement);
   void SendAway(const RegionId& region);
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
-  void ReleaseShare();
-  /// The upstream ended the attempt well or not.
-  void NoteEnd(bool has_failed);
   void OnFirstEvent();
   void PassStream(std::string_view bytes);
   void BeginStream(const net::MessageHead& head);
+  /// The upstream's own failure is the answer, or reason for a repeat.
+  void OnFailedAnswer();
+  void EndStream();
   void AnswerWhole();
   void OnNotRun(std::string_view why);
   void OnMayHaveRun(std::string_view why);
