While many are refused, room goes to callers that can still be in time

Cause: a caller that comes back was placed as if its objective began anew.

Change: the registry learns what first callers of a kind state as their limit; who states clearly less has waited before and is late whatever is done. Its share of the room is 1 - the share refused of late, 0.2 at least.

Tests: "what is left of the room goes to callers that can still be in time" (failed first), "what first callers state is not forgotten".

--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -16,6 +16,9 @@
 // takes.
 constexpr double kPlainSilenceShare = 0.6;
 constexpr Millis kLeastPlainSilence{50};
+// Callers' limits differ by some; one with less left than this share of the
+// long ones has waited before.
+constexpr double kFirstTryShare = 0.72;
 
 flow::DispatchInput InputOf(EdgeParts* parts, const CallContract& contract,
                             const CallTerms& terms,
@@ -36,6 +39,9 @@
     const flow::ServiceProfile& profile =
         parts->registry->ProfileOf(contract.service);
     input.refused_share = profile.kinds.at(route.priority).refused_share;
+    input.is_late =
+        static_cast<double>(input.to_limit.count()) <
+        kFirstTryShare * profile.kinds.at(route.priority).first_limit_us;
     input.output_tokens =
         profile.ExpectedOutput(route.priority, terms.size.hinted_out);
     input.tolerated_pace_us = profile.ToleratedPaceUs();
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -18,6 +18,9 @@
 constexpr double kComfortPaceShare = 0.6;
 constexpr double kPaceShare = 0.8;
 constexpr double kUrgentPaceShare = 3;
+// A caller that is late anyway keeps at least this share of the room that one
+// in time gets, so that nobody is shut out.
+constexpr double kLeastLateRoom = 0.2;
 // A prompt that is too long for the objective even alone waits no longer than
 // this share of it for others.
 constexpr double kLongPromptWaitShare = 0.25;
@@ -69,6 +72,12 @@
   return forecast;
 }
 
+// While many are refused, what room is left goes to callers that can still be
+// in time; one that is late is served when the crowd has gone.
+double RoomShare(const DispatchInput& input) {
+  return input.is_late ? std::max(kLeastLateRoom, 1 - input.refused_share) : 1;
+}
+
 // Whether the call is late wherever it runs, because of its own length, and
 // nobody else would be: a late answer is better than none.
 bool IsLongButWelcome(const Forecast& forecast, const DispatchInput& input) {
@@ -130,9 +139,10 @@
     return {DispatchKind::kRefuse, {}, RetryAfter({}, input), {}};
   }
   const Forecast& chosen = is_away ? best_forecast : *input.local;
+  double room = RoomShare(input);
   if (input.is_model_call &&
-      StrainOf(chosen, input, kRefuseTargetShare, kLimitShare,
-               input.rank == 0 ? kUrgentPaceShare : kPaceShare) > 1 &&
+      StrainOf(chosen, input, kRefuseTargetShare * room, kLimitShare,
+               (input.rank == 0 ? kUrgentPaceShare : kPaceShare) * room) > 1 &&
       !IsLongButWelcome(chosen, input)) {
     Micros over = chosen.first_byte - std::max(input.to_target, Micros::zero());
     return {DispatchKind::kRefuse, {}, RetryAfter(over, input), chosen};
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -23,6 +23,9 @@
   Micros to_target{0};
   /// Time left until the caller's or the route's limit.
   Micros to_limit{0};
+  /// Whether the caller has clearly waited already, so that it is late whatever
+  /// is done.
+  bool is_late = false;
   /// The best upstream here, if any has room.
   std::optional<Forecast> local;
   /// Permitted other regions; empty for a call that came from one.
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -36,6 +36,11 @@
 // Share of an engine's memory that is thought to keep prompts; running calls
 // hold the rest.
 constexpr double kCacheShare = 0.6;
+// Weights of one caller's stated limit, longer or shorter than what is known:
+// callers that come back state what they have left, which says nothing about
+// how long such a call may take.
+constexpr double kLongerLimitWeight = 0.1;
+constexpr double kShorterLimitWeight = 0.005;
 // Most news kept between two beats; what is lost costs one more reading.
 constexpr size_t kMostNews = 64;
 
@@ -206,8 +211,13 @@
   auto [it, is_new] = ProfileOf(service).kinds.try_emplace(rank);
   if (is_new) {
     it->second.output_tokens = kInitialOutputShare * declared_tokens;
+    it->second.first_limit_us = static_cast<double>(limit.count());
   }
   it->second.limit = limit;
+  double& known = it->second.first_limit_us;
+  auto stated = static_cast<double>(limit.count());
+  known += (stated > known ? kLongerLimitWeight : kShorterLimitWeight) *
+           (stated - known);
   return it->second;
 }
 
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -18,6 +18,9 @@
   double output_tokens = 0;
   /// How long such a call may take.
   Micros limit{0};
+  /// The longer of what callers state, as those do that come for the first
+  /// time; microseconds.
+  double first_limit_us = 0;
   /// Share of the calls of late that were refused.
   double refused_share = 0;
 };
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -386,6 +386,53 @@
   CHECK(*times.begin() >= Millis(700));
 }
 
+TEST_CASE(
+    "what is left of the room goes to callers that can still be in time") {
+  struct Row {
+    const char* name;
+    Millis first_byte;
+    double pace;
+    DispatchKind in_time;
+    DispatchKind late;
+  };
+  const std::vector<Row> rows = {
+      {"room", Millis(300), 0.2, DispatchKind::kLocal, DispatchKind::kLocal},
+      {"little room", Millis(600), 0.2, DispatchKind::kLocal,
+       DispatchKind::kRefuse},
+      {"little pace", Millis(300), 0.7, DispatchKind::kLocal,
+       DispatchKind::kRefuse},
+      {"none", Millis(900), 0.2, DispatchKind::kRefuse, DispatchKind::kRefuse},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    DispatchInput input = ModelCall();
+    input.rank = 1;
+    input.local = Expect(row.first_byte, Millis(1200), row.pace);
+    CHECK(Decide(input).kind == row.in_time);
+    input.is_late = true;
+    CHECK(Decide(input).kind == row.in_time);
+    input.refused_share = 0.6;
+    CHECK(Decide(input).kind == row.late);
+    input.is_late = false;
+    CHECK(Decide(input).kind == row.in_time);
+  }
+}
+
+TEST_CASE("what first callers state is not forgotten for those who come back") {
+  UpstreamRegistry registry((RegionId("north")));
+  const ServiceName service("s");
+  for (int i = 0; i < 60; ++i) {
+    Millis stated(i % 3 == 0 ? 2700 : 3300);
+    registry.KindOf(service, 0, 100, stated);
+  }
+  for (int i = 0; i < 30; ++i) {
+    registry.KindOf(service, 0, 100, Millis(1000));
+  }
+  double first = registry.KindOf(service, 0, 100, Millis(1000)).first_limit_us;
+  CHECK(first > 2.6e6);
+  CHECK(first <= 3.3e6);
+}
+
 TEST_CASE("while most are refused, callers are asked back later") {
   DispatchInput input = ModelCall();
   input.local = Expect(Millis(900), Millis(2400));
