Seeded fuzzing of everything that parses bytes from outside

Checked: no crash; cut into pieces bytes read as whole; bodies within their limit; no two lengths, no length with chunks; events neither lost nor made up; what was read comes back; no refusal without a reason.

--- /dev/null
+++ b/Source/UnitTests/Fuzz/byte_mutator.cc
@@ -0,0 +1,91 @@
+#include "UnitTests/Fuzz/byte_mutator.h"
+
+#include <array>
+
+namespace basilvalve::fuzz {
+namespace {
+
+// Changes to one input: one finds what a field accepts, several what a parser
+// makes of a wrong state.
+constexpr uint64_t kMostChanges = 6;
+// Longest piece that is copied or dropped at once.
+constexpr uint64_t kLongestPiece = 40;
+
+// Words at which the parsers decide something.
+constexpr std::array<std::string_view, 28> kWords = {
+    "\r\n",
+    "\n",
+    "\r\n\r\n",
+    "\n\n",
+    ":",
+    " ",
+    "\t",
+    ",",
+    "0",
+    "-1",
+    "1e309",
+    "18446744073709551616",
+    "4294967295",
+    "0x10",
+    "null",
+    "true",
+    "[]",
+    "{}",
+    "\"",
+    "\\u0000",
+    "\xff\xfe",
+    "Content-Length: 7\r\n",
+    "Transfer-Encoding: chunked\r\n",
+    "Transfer-Encoding : chunked\r\n",
+    "Connection: close\r\n",
+    "id: 5\n",
+    "ffffffffffffffff\r\n",
+    "HTTP/1.1"};
+
+}  // namespace
+
+std::string ByteMutator::Next() {
+  std::string bytes = Any();
+  for (uint64_t n = random_.Below(kMostChanges + 1); n > 0; --n) {
+    ChangeOnce(&bytes);
+  }
+  return bytes;
+}
+
+void ByteMutator::ChangeOnce(std::string* bytes) {
+  size_t at = random_.Below(bytes->size() + 1);
+  size_t n = 1 + random_.Below(kLongestPiece);
+  switch (random_.Below(7)) {
+    case 0:
+      if (at < bytes->size()) {
+        (*bytes)[at] = static_cast<char>(random_.Below(256));
+      }
+      return;
+    case 1:
+      bytes->erase(at, n);
+      return;
+    case 2:
+      bytes->insert(at, kWords[random_.Below(kWords.size())]);
+      return;
+    case 3:
+      bytes->insert(at, bytes->substr(random_.Below(bytes->size() + 1), n));
+      return;
+    case 4:
+      bytes->resize(at);
+      return;
+    case 5: {
+      const std::string& other = Any();
+      bytes->resize(at);
+      bytes->append(other, random_.Below(other.size() + 1));
+      return;
+    }
+    default:
+      if (at < bytes->size()) {
+        (*bytes)[at] =
+            static_cast<char>((*bytes)[at] ^ (1U << random_.Below(8)));
+      }
+      return;
+  }
+}
+
+}  // namespace basilvalve::fuzz
--- /dev/null
+++ b/Source/UnitTests/Fuzz/fuzz_test.cc
@@ -0,0 +1,34 @@
+#include <catch2/catch.hpp>
+
+#include "UnitTests/Fuzz/fuzz_target.h"
+
+namespace basilvalve::fuzz {
+namespace {
+
+// Some seconds for all parsers together; basilvalve-fuzz runs for longer.
+constexpr uint64_t kExecutions = 4000;
+
+TEST_CASE("no bytes break a parser") {
+  for (const FuzzTarget& target : FuzzTargets()) {
+    for (uint64_t seed : {1, 2, 3}) {
+      FuzzReport report = RunFuzz(target, seed, kExecutions);
+      INFO(target.name << " seed " << seed << " execution " << report.executions
+                       << ": " << report.input);
+      CHECK(report.violation.empty());
+    }
+  }
+}
+
+TEST_CASE("the corpus is read as it is meant") {
+  for (const FuzzTarget& target : FuzzTargets()) {
+    ByteMutator cuts(1, {"x"});
+    for (const std::string& input : CorpusOf(target)) {
+      INFO(target.name << ": " << input);
+      CHECK(target.check(input, &cuts).empty());
+      CHECK(target.accepts(input));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace basilvalve::fuzz
