Upstream entries with impossible numbers are refused or bounded

An entry with port 0, no slots or negative slots was taken for an upstream; a negative time stayed negative, one beyond any number was cast to one (undefined).

--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -108,6 +108,34 @@
   }
 }
 
+// Found by basilvalve-fuzz: entries that no call can be sent to were taken, and
+// a time beyond any number was cast to one.
+TEST_CASE("an entry with numbers that cannot be is refused or bounded") {
+  auto boot = ParseBootSettings(kBoot);
+  REQUIRE(boot);
+  auto entry = [](const std::string& address, const std::string& slots,
+                  const std::string& cold) {
+    return R"({"service":"s","address":")" + address +
+           R"(","zone":"a","state":"ready","slots":)" + slots +
+           R"(,"cold_remaining_ms":)" + cold + "}";
+  };
+  REQUIRE(DecodeUpstream("servers/i-1", entry("1.1.1.1:1", "1", "0"), *boot));
+  for (const std::string& bad :
+       {entry("1.1.1.1:0", "1", "0"), entry("1.1.1.1:1", "0", "0"),
+        entry("1.1.1.1:1", "-1", "0"), entry("1.1.1.1:1", "1e12", "0")}) {
+    INFO(bad);
+    CHECK_FALSE(DecodeUpstream("servers/i-1", bad, *boot));
+  }
+  auto past =
+      DecodeUpstream("servers/i-1", entry("1.1.1.1:1", "1", "-5"), *boot);
+  REQUIRE(past);
+  CHECK(past->cold_remaining == Millis::zero());
+  auto endless =
+      DecodeUpstream("servers/i-1", entry("1.1.1.1:1", "1", "1e300"), *boot);
+  REQUIRE(endless);
+  CHECK(endless->cold_remaining == Millis(86'400'000));
+}
+
 TEST_CASE("base64 comes back as it was, and other text is refused") {
   for (const std::string& bytes :
        {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
