--- a/Source/UnitTests/Fuzz/byte_mutator.cc
+++ b/Source/UnitTests/Platform/Fuzz/byte_mutator.cc
@@ -1,4 +1,4 @@
-#include "UnitTests/Fuzz/byte_mutator.h"
+#include "UnitTests/Platform/Fuzz/byte_mutator.h"
 
 #include <array>
 
--- a/Source/UnitTests/Fuzz/fuzz_main.cc
+++ b/Source/UnitTests/Platform/Fuzz/fuzz_main.cc
@@ -3,7 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "UnitTests/Fuzz/fuzz_target.h"
+#include "UnitTests/Platform/Fuzz/fuzz_target.h"
 
 namespace basilvalve::fuzz {
 namespace {
--- a/Source/UnitTests/Fuzz/fuzz_target.cc
+++ b/Source/UnitTests/Platform/Fuzz/fuzz_target.cc
@@ -1,4 +1,4 @@
-#include "UnitTests/Fuzz/fuzz_target.h"
+#include "UnitTests/Platform/Fuzz/fuzz_target.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -241,7 +241,7 @@
   std::vector<std::string> corpus;
   std::filesystem::path directory =
       std::filesystem::path(BASILVALVE_SOURCE_DIR) /
-      "Source/UnitTests/Fuzz/corpus" / target.name;
+      "Source/UnitTests/Platform/Fuzz/corpus" / target.name;
   std::vector<std::filesystem::path> files;
   for (const auto& entry : std::filesystem::directory_iterator(directory)) {
     files.push_back(entry.path());
--- a/Source/UnitTests/Fuzz/fuzz_target.h
+++ b/Source/UnitTests/Platform/Fuzz/fuzz_target.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "UnitTests/Fuzz/byte_mutator.h"
+#include "UnitTests/Platform/Fuzz/byte_mutator.h"
 
 namespace basilvalve::fuzz {
 
--- a/Source/UnitTests/Fuzz/fuzz_test.cc
+++ b/Source/UnitTests/Platform/Fuzz/fuzz_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "UnitTests/Fuzz/fuzz_target.h"
+#include "UnitTests/Platform/Fuzz/fuzz_target.h"
 
 namespace basilvalve::fuzz {
 namespace {
