--- a/Source/Core/Gateway/node.cc
+++ b/Source/Core/Gateway/node.cc
@@ -272,8 +272,8 @@
   Instant idle_since = begin;
   Instant limit = begin + Seconds(settings_.drain_limit_s);
   while (clock_.Now() < limit) {
-    // The library sends a buffered reply after its handler has returned, so the
-    // instance has to be idle for a while.
+    // A reply is written to its connection after its handler has returned, so
+    // the instance has to be idle for a while.
     if (active_.load() != 0) {
       idle_since = clock_.Now();
     }
