--- a/Source/BasilvalveSoak/soak_upstream.cc
+++ b/Source/BasilvalveSoak/soak_upstream.cc
@@ -1,6 +1,6 @@
 #include "BasilvalveSoak/soak_upstream.h"
 
-#include "Core/Edge/call_text.h"
+#include "Core/Net/message.h"
 
 namespace basilvalve::soak {
 namespace {
@@ -130,7 +130,7 @@
   }
   if (run.is_stream) {
     BeginStream(&run);
-    caller->Write("0\r\n\r\n");
+    caller->Write(net::kLastChunk);
   } else {
     AnswerWhole(run);
   }
@@ -152,7 +152,7 @@
       // After its last event a stream has nothing left but its end.
       bool is_past_events = run.is_stream && run.next_event > EventsOf(run.id);
       std::string text = run.is_stream && run.has_head
-                             ? edge::ChunkText(EventOf(run.id, run.next_event))
+                             ? net::ChunkText(EventOf(run.id, run.next_event))
                              : Whole(run.id, 200, AnswerTo(run.id));
       if (!is_past_events) {
         run.caller->Write(text.substr(0, random_->Below(text.size())));
@@ -184,7 +184,7 @@
 
 void SoakUpstream::StreamOn(Run* run) {
   BeginStream(run);
-  run->caller->Write(edge::ChunkText(EventOf(run->id, run->next_event++)));
+  run->caller->Write(net::ChunkText(EventOf(run->id, run->next_event++)));
   Later(run);
 }
 
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -34,14 +34,14 @@
   input.hop = parts->region_round_trip;
   input.spread = parts->random->Unit();
   if (input.is_model_call) {
-    parts->registry->KindOf(contract.service, route.priority,
-                            terms.size.tokens_out, contract.time_left);
+    const flow::KindProfile& kind =
+        parts->registry->KindOf(contract.service, route.priority,
+                                terms.size.tokens_out, contract.time_left);
     const flow::ServiceProfile& profile =
         parts->registry->ProfileOf(contract.service);
-    input.refused_share = profile.kinds.at(route.priority).refused_share;
-    input.is_late =
-        static_cast<double>(input.to_limit.count()) <
-        kFirstTryShare * profile.kinds.at(route.priority).first_limit_us;
+    input.refused_share = kind.refused_share;
+    input.is_late = static_cast<double>(input.to_limit.count()) <
+                    kFirstTryShare * kind.first_limit_us;
     input.output_tokens =
         profile.ExpectedOutput(route.priority, terms.size.hinted_out);
     input.tolerated_pace_us = profile.ToleratedPaceUs();
--- a/Source/Core/Edge/call_text.cc
+++ b/Source/Core/Edge/call_text.cc
@@ -110,14 +110,6 @@
   return out;
 }
 
-std::string ChunkText(std::string_view bytes) {
-  std::array<char, 24> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-  std::string out = size.data();
-  out.append(bytes).append("\r\n");
-  return out;
-}
-
 std::string FailureText(int status, Millis retry_after,
                         std::optional<Outcome> outcome, bool keep_alive) {
   std::string out = StartLine(status);
--- a/Source/Core/Edge/call_text.h
+++ b/Source/Core/Edge/call_text.h
@@ -25,8 +25,6 @@
                             bool keep_alive);
 /// Head of an answer whose body comes in chunks. Thread safe.
 std::string ChunkedHeadText(const net::MessageHead& head, bool keep_alive);
-/// One chunk of a chunked body. Thread safe.
-std::string ChunkText(std::string_view bytes);
 /// An answer of this system's own. `outcome` is told to another instance only.
 /// Thread safe.
 std::string FailureText(int status, Millis retry_after,
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -92,8 +92,7 @@
   terms.expected = placement.upstream->record.id;
   terms.time_left = TimeLeft();
   terms.urgency = UrgencyOf(*contract_.route);
-  terms.resume_after =
-      splitter_.last_id() ? splitter_.last_id() : terms_.resume_after;
+  terms.resume_after = ResumeAfter();
   parts_->metrics->CountSend("here");
   BeginAttempt(parts_->upstream_pool->Take(attempt_.endpoint, !IsRepeatable()),
                RequestText(request_, *parts_->dialect, terms, {}));
@@ -134,8 +133,7 @@
   hop.pause_target = route.pause_target;
   SendTerms terms;
   terms.time_left = hop.time_left;
-  terms.resume_after =
-      splitter_.last_id() ? splitter_.last_id() : terms_.resume_after;
+  terms.resume_after = ResumeAfter();
   parts_->metrics->CountSend("away");
   std::string bytes =
       RequestText(request_, *parts_->dialect, terms, FormatHop(hop));
@@ -251,7 +249,7 @@
   if (!stream_begun_) {
     BeginStream(attempt_.head);
   }
-  caller_->Write(ChunkText(events));
+  caller_->Write(net::ChunkText(events));
   if (!caller_->is_clogged()) {
     return;
   }
@@ -288,6 +286,11 @@
       JudgeAnswer({attempt_.head.status, attempt_.peer_outcome,
                    attempt_.is_refusal, attempt_.is_unproven, IsStream(),
                    stream_begun_, splitter_.has_partial()});
+  if (judgement.verdict != AnswerVerdict::kNotRun) {
+    bool is_answered = judgement.verdict == AnswerVerdict::kPassWhole ||
+                       judgement.verdict == AnswerVerdict::kEndStream;
+    attempt_.NoteEnd(/*has_failed=*/!is_answered, parts_->loop->Now());
+  }
   switch (judgement.verdict) {
     case AnswerVerdict::kNotRun:
       if (attempt_.upstream) {
@@ -296,19 +299,15 @@
       OnNotRun(judgement.why);
       return;
     case AnswerVerdict::kMayHaveRun:
-      attempt_.NoteEnd(/*has_failed=*/true, parts_->loop->Now());
       OnMayHaveRun(judgement.why);
       return;
     case AnswerVerdict::kFailed:
-      attempt_.NoteEnd(/*has_failed=*/true, parts_->loop->Now());
       OnFailedAnswer();
       return;
     case AnswerVerdict::kEndStream:
-      attempt_.NoteEnd(/*has_failed=*/false, parts_->loop->Now());
       EndStream();
       return;
     case AnswerVerdict::kPassWhole:
-      attempt_.NoteEnd(/*has_failed=*/false, parts_->loop->Now());
       AnswerWhole();
       return;
   }
@@ -337,7 +336,7 @@
       contract_.service, contract_.route->priority,
       static_cast<double>(splitter_.events()) *
           std::max(1U, contract_.traits.tokens_per_event));
-  caller_->Write("0\r\n\r\n");
+  caller_->Write(net::kLastChunk);
   caller_->EndAnswer(request_.head.keep_alive);
   Finish("done", attempt_.head.status, "streamed");
 }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -73,6 +73,10 @@
     return std::chrono::floor<Millis>((IsStream() ? patience_at_ : limit_at_) -
                                       parts_->loop->Now());
   }
+  /// Event behind which a stream goes on; the caller may have named one.
+  std::optional<int64_t> ResumeAfter() const {
+    return splitter_.last_id() ? splitter_.last_id() : terms_.resume_after;
+  }
   bool KeepsAlive() const {
     return request_.head.keep_alive && !caller_->closing();
   }
--- a/Source/Core/Gateway/request_parser.cc
+++ b/Source/Core/Gateway/request_parser.cc
@@ -44,7 +44,7 @@
 Result<void> ParseTarget(const http::Request& request, Call* call) {
   if (request.path == kModelPath) {
     call->service = ServiceName(
-        std::string(FindHeader(request.headers, "Basilvalve-Service")));
+        std::string(http::FindHeader(request.headers, "Basilvalve-Service")));
     call->path = request.path;
     if (call->service.empty()) {
       return Fail(ResultCode::kMalformedRequest,
@@ -80,25 +80,29 @@
   call.id = RequestId(parts.self.value() + "." +
                       std::to_string(parts.incarnation.value()) + "." +
                       parts.ids->Hex());
-  call.trace = parts.ids->Span(FindHeader(request.headers, "traceparent"));
+  call.trace =
+      parts.ids->Span(http::FindHeader(request.headers, "traceparent"));
   call.method = request.method;
   call.query = request.query;
-  call.content_type = std::string(FindHeader(request.headers, "Content-Type"));
+  call.content_type =
+      std::string(http::FindHeader(request.headers, "Content-Type"));
   call.body = request.body;
   call.arrived = parts.clock->Now();
-  call.ticket = std::string(FindHeader(request.headers, "Basilvalve-Ticket"));
+  call.ticket =
+      std::string(http::FindHeader(request.headers, "Basilvalve-Ticket"));
   call.idempotency_key =
-      std::string(FindHeader(request.headers, "Idempotency-Key"));
+      std::string(http::FindHeader(request.headers, "Idempotency-Key"));
   if (call.idempotency_key.size() > kMaxKeyBytes) {
     return Fail(ResultCode::kMalformedRequest,
                 "Idempotency-Key: at most 256 bytes");
   }
-  std::string_view authorization = FindHeader(request.headers, "Authorization");
+  std::string_view authorization =
+      http::FindHeader(request.headers, "Authorization");
   if (authorization.starts_with(kBearer)) {
     call.bearer = std::string(authorization.substr(kBearer.size()));
   }
-  Result<Micros> deadline =
-      ParseDeadline(FindHeader(request.headers, "Basilvalve-Deadline-Ms"));
+  Result<Micros> deadline = ParseDeadline(
+      http::FindHeader(request.headers, "Basilvalve-Deadline-Ms"));
   if (!deadline) {
     return tl::make_unexpected(deadline.error());
   }
--- a/Source/Core/Http/http_client.cc
+++ b/Source/Core/Http/http_client.cc
@@ -34,12 +34,7 @@
     last_arrival_ = loop_->Now();
     report.head_received = true;
     report.length_verified = head.content_length.has_value() || head.chunked;
-    ResponseHead handed;
-    handed.status = head.status;
-    for (const net::HeaderField& it : head.fields) {
-      handed.headers.push_back({it.name, it.value});
-    }
-    if (!sink_->OnHead(handed)) {
+    if (!sink_->OnHead({head.status, head.fields})) {
       Finish(CallEnd::kCancelled);
     }
     return true;
@@ -136,7 +131,7 @@
   net::EventLoop loop;
   ClientCall call(&loop, sink);
   auto connection = net::ClientConnection::Open(
-      &loop, {endpoint.ip, endpoint.port}, timeouts.connect, timeouts.idle);
+      &loop, endpoint, timeouts.connect, timeouts.idle);
   connection->Send(Serialize(endpoint, request), &call);
   Pump(&loop, &call, timeouts, sink);
   connection->Close();
--- a/Source/Core/Http/http_message.cc
+++ b/Source/Core/Http/http_message.cc
@@ -1,18 +1,9 @@
 #include "Core/Http/http_message.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 
 namespace basilvalve::http {
-namespace {
-
-char Lower(char c) {
-  return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-}
-
-}  // namespace
-
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
   size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) {
@@ -26,21 +17,16 @@
       digits.empty()) {
     return false;
   }
-  endpoint->ip = std::string(text.substr(0, colon));
+  endpoint->host = std::string(text.substr(0, colon));
   endpoint->port = port;
   return true;
 }
 
-bool SameName(std::string_view left, std::string_view right) {
-  return left.size() == right.size() &&
-         std::equal(left.begin(), left.end(), right.begin(),
-                    [](char a, char b) { return Lower(a) == Lower(b); });
-}
-
 std::string_view FindHeader(const Headers& headers, std::string_view name) {
-  auto it = std::find_if(
-      headers.begin(), headers.end(),
-      [name](const Header& header) { return SameName(header.name, name); });
+  auto it = std::find_if(headers.begin(), headers.end(),
+                         [name](const Header& header) {
+                           return net::EqualsIgnoringCase(header.name, name);
+                         });
   if (it == headers.end()) {
     return {};
   }
@@ -49,8 +35,9 @@
 
 size_t CountHeader(const Headers& headers, std::string_view name) {
   return static_cast<size_t>(std::count_if(
-      headers.begin(), headers.end(),
-      [name](const Header& header) { return SameName(header.name, name); }));
+      headers.begin(), headers.end(), [name](const Header& header) {
+        return net::EqualsIgnoringCase(header.name, name);
+      }));
 }
 
 std::string QueryValue(std::string_view query, std::string_view name) {
--- a/Source/Core/Http/http_message.h
+++ b/Source/Core/Http/http_message.h
@@ -7,30 +7,18 @@
 #include <string_view>
 #include <vector>
 
-namespace basilvalve::http {
+#include "Core/Net/message.h"
+#include "Core/Net/socket.h"
 
-/// Address of an HTTP server. Shape: numeric IP and port.
-struct Endpoint {
-  std::string ip;
-  uint16_t port = 0;
+namespace basilvalve::http {
 
-  bool operator==(const Endpoint& other) const {
-    return ip == other.ip && port == other.port;
-  }
-  /// "ip:port". Thread safe.
-  std::string Text() const { return ip + ":" + std::to_string(port); }
-};
+using net::Endpoint;
 
 /// Parses "ip:port"; false for other text. Thread safe. Pre: `endpoint` is not
 /// null.
 bool ParseEndpoint(std::string_view text, Endpoint* endpoint);
 
-/// One header line.
-struct Header {
-  std::string name;
-  std::string value;
-};
-
+using Header = net::HeaderField;
 using Headers = std::vector<Header>;
 
 /// First value of a header, compared without regard to case; empty if absent.
@@ -38,8 +26,6 @@
 std::string_view FindHeader(const Headers& headers, std::string_view name);
 /// How often a header occurs. Thread safe.
 size_t CountHeader(const Headers& headers, std::string_view name);
-/// Whether two header names are equal without regard to case. Thread safe.
-bool SameName(std::string_view left, std::string_view right);
 
 /// A request to send, or one received with its whole body.
 struct Request {
--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -24,9 +24,7 @@
   if (mark != std::string::npos) {
     request.query = target.substr(mark + 1);
   }
-  for (net::HeaderField& it : received.head.fields) {
-    request.headers.push_back({std::move(it.name), std::move(it.value)});
-  }
+  request.headers = std::move(received.head.fields);
   request.body = std::move(received.body);
   return request;
 }
@@ -63,15 +61,15 @@
       tls_ = std::move(*tls);
     }
     auto listener = net::Listener::Create(
-        &loop_, {settings_.endpoint.ip, settings_.endpoint.port},
-        settings_.write_timeout, [this](std::unique_ptr<net::Socket> socket) {
+        &loop_, settings_.endpoint, settings_.write_timeout,
+        [this](std::unique_ptr<net::Socket> socket) {
           Accept(std::move(socket));
         });
     if (!listener) {
       return tl::make_unexpected(listener.error());
     }
     listener_ = std::move(*listener);
-    settings_.endpoint.port = listener_->LocalEndpoint().port;
+    settings_.endpoint = listener_->LocalEndpoint();
     thread_ = std::thread([this] { loop_.Run(); });
     return {};
   }
--- a/Source/Core/Http/server_exchange.cc
+++ b/Source/Core/Http/server_exchange.cc
@@ -1,7 +1,5 @@
 #include "Core/Http/server_exchange.h"
 
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace basilvalve::http {
@@ -51,17 +49,11 @@
   if (piece.empty()) {
     return !channel_->is_gone();
   }
-  // Sixteen digits of a length, a line end and the text's own end.
-  constexpr size_t kChunkHeadBytes = 24;
-  std::array<char, kChunkHeadBytes> head;
-  int n = std::snprintf(head.data(), head.size(), "%zx\r\n", piece.size());
-  std::string chunk(head.data(), static_cast<size_t>(n));
-  chunk.append(piece).append("\r\n");
-  return channel_->Send(std::move(chunk), write_timeout_);
+  return channel_->Send(net::ChunkText(piece), write_timeout_);
 }
 
 bool ServerExchange::EndStream() {
-  bool sent = channel_->Send("0\r\n\r\n", write_timeout_);
+  bool sent = channel_->Send(std::string(net::kLastChunk), write_timeout_);
   channel_->End(keep_alive_);
   ended_ = true;
   return sent;
--- a/Source/Core/Net/message.cc
+++ b/Source/Core/Net/message.cc
@@ -1,5 +1,7 @@
 #include "Core/Net/message.h"
 
+#include <array>
+#include <cstdio>
 #include <utility>
 //
 #include <boost/asio/buffer.hpp>
@@ -148,6 +150,16 @@
   return false;
 }
 
+std::string ChunkText(std::string_view bytes) {
+  // Sixteen digits of a length, a line end and the text's own end.
+  constexpr size_t kSizeLineBytes = 24;
+  std::array<char, kSizeLineBytes> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string out = size.data();
+  out.append(bytes).append("\r\n");
+  return out;
+}
+
 const std::string* MessageHead::Find(std::string_view name) const {
   for (const HeaderField& field : fields) {
     if (EqualsIgnoringCase(field.name, name)) {
--- a/Source/Core/Net/message.h
+++ b/Source/Core/Net/message.h
@@ -20,6 +20,12 @@
 /// Whether a comma-separated header value holds the word. Thread safe.
 bool HasListWord(std::string_view value, std::string_view word);
 
+/// One chunk of a chunked body. Pre: not empty, which would be the last chunk.
+/// Thread safe.
+std::string ChunkText(std::string_view bytes);
+/// What ends a chunked body.
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
 /// Start line and fields of a request or a response.
 struct MessageHead {
   std::string method;
--- a/Source/Core/Peer/control_socket.cc
+++ b/Source/Core/Peer/control_socket.cc
@@ -53,7 +53,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(endpoint.port);
-  if (inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr) != 1) {
+  if (inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr) != 1) {
     return false;
   }
   fd_ = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -65,7 +65,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(outgoing.to.port);
-  if (inet_pton(AF_INET, outgoing.to.ip.c_str(), &address.sin_addr) != 1) {
+  if (inet_pton(AF_INET, outgoing.to.host.c_str(), &address.sin_addr) != 1) {
     return 0;
   }
   std::string datagram = membership::EncodeControl(outgoing.message, *keyring_);
--- a/Source/Core/Peer/peer_reactor.cc
+++ b/Source/Core/Peer/peer_reactor.cc
@@ -22,7 +22,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(endpoint.port);
-  if (inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr) != 1) {
+  if (inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr) != 1) {
     return -1;
   }
   int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/Source/Core/Peer/peer_server.cc
+++ b/Source/Core/Peer/peer_server.cc
@@ -172,7 +172,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(endpoint_.port);
-  if (inet_pton(AF_INET, endpoint_.ip.c_str(), &address.sin_addr) != 1) {
+  if (inet_pton(AF_INET, endpoint_.host.c_str(), &address.sin_addr) != 1) {
     return false;
   }
   listen_fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/Source/Fakes/relay.cc
+++ b/Source/Fakes/relay.cc
@@ -66,7 +66,7 @@
     }
     int caller = ::accept4(listen_fd_, nullptr, nullptr, SOCK_CLOEXEC);
     int upstream = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = AddressOf(target_.ip, target_.port);
+    sockaddr_in address = AddressOf(target_.host, target_.port);
     bool ok =
         !cut_ && ::connect(upstream, reinterpret_cast<sockaddr*>(&address),
                            sizeof(address)) == 0;
--- a/Source/UnitTests/Core/Http/http_contract_test.cc
+++ b/Source/UnitTests/Core/Http/http_contract_test.cc
@@ -1,5 +1,3 @@
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +7,7 @@
 
 #include "Core/Http/http_client.h"
 #include "Core/Http/http_server.h"
+#include "UnitTests/Core/Http/tls_caller.h"
 
 namespace basilvalve::http {
 namespace {
@@ -17,15 +16,7 @@
 class RawServer {
  public:
   explicit RawServer(std::string answer) : answer_(std::move(answer)) {
-    fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    socklen_t n = sizeof(address);
-    (void)::bind(fd_, reinterpret_cast<sockaddr*>(&address), n);
-    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &n);
-    ::listen(fd_, 16);
-    endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+    fd_ = ListenOnLoopback(&endpoint);
     thread_ = std::thread([this] { Run(); });
   }
 
@@ -125,19 +116,12 @@
 }
 
 TEST_CASE("a server that says nothing is left after the idle bound") {
-  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-  socklen_t n = sizeof(address);
-  REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), n) == 0);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
-  ::listen(fd, 1);
+  Endpoint silent;
+  int fd = ListenOnLoopback(&silent);
   CallTimeouts timeouts;
   timeouts.idle = std::chrono::milliseconds(120);
   Collected sink;
-  CallReport report =
-      Execute({"127.0.0.1", ntohs(address.sin_port)}, kPost, timeouts, &sink);
+  CallReport report = Execute(silent, kPost, timeouts, &sink);
   ::close(fd);
   // The request may have arrived: a server may act without answering.
   CHECK(report.end == CallEnd::kTimedOut);
@@ -226,21 +210,7 @@
       "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
   };
   for (const std::string& row : rows) {
-    int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(server->endpoint().port);
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&address),
-                      sizeof(address)) == 0);
-    ::send(fd, row.data(), row.size(), MSG_NOSIGNAL);
-    ::shutdown(fd, SHUT_WR);
-    std::string answer;
-    char buf[512];
-    for (ssize_t n = 0; (n = ::recv(fd, buf, sizeof(buf), 0)) > 0;) {
-      answer.append(buf, static_cast<size_t>(n));
-    }
-    ::close(fd);
+    std::string answer = PlainExchange(server->endpoint(), row);
     INFO(row.substr(0, 40) << " -> " << answer.substr(0, 60));
     CHECK(answer.find("200 OK") == std::string::npos);
     CHECK(ExecuteBuffered(server->endpoint(), kPost, {}, 1 << 20).Is(200));
--- a/Source/UnitTests/Core/Http/http_server_test.cc
+++ b/Source/UnitTests/Core/Http/http_server_test.cc
@@ -84,6 +84,15 @@
     INFO(why);
     REQUIRE(server != nullptr);
   }
+  /// Sends a request of that path without reading; the test closes it.
+  int Ask(const std::string& path) const {
+    int fd = ConnectTo(server->endpoint());
+    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    REQUIRE(::write(fd, request.data(), request.size()) > 0);
+    return fd;
+  }
+  bool AnswersOverTls() const;
+
   TestCertificate certificate;
   ServerSettings settings;
   SizeHandler handler;
@@ -93,19 +102,22 @@
 const std::string kGet =
     "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
 
+bool Fixture::AnswersOverTls() const {
+  return TlsExchange(server->endpoint(), kGet).find("size 0") !=
+         std::string::npos;
+}
+
 TEST_CASE("plaintext callers of a TLS port hold no thread") {
   Fixture f(/*tls=*/true);
   f.Start();
-  CHECK(TlsExchange(f.server->endpoint(), kGet).find("size 0") !=
-        std::string::npos);
+  CHECK(f.AnswersOverTls());
   int before = ThreadsOfProcess();
   for (int i = 0; i < 20; ++i) {
     CHECK(PlainExchange(f.server->endpoint(), kGet).find("200") ==
           std::string::npos);
   }
   CHECK(ThreadsOfProcess() <= before);
-  CHECK(TlsExchange(f.server->endpoint(), kGet).find("size 0") !=
-        std::string::npos);
+  CHECK(f.AnswersOverTls());
   CHECK(f.handler.calls == 2);
   auto begin = steady_clock::now();
   f.server.reset();
@@ -134,8 +146,7 @@
   for (int i = 0; i < 30; ++i) {
     silent.push_back(ConnectTo(f.server->endpoint()));
   }
-  CHECK(TlsExchange(f.server->endpoint(), kGet).find("size 0") !=
-        std::string::npos);
+  CHECK(f.AnswersOverTls());
   for (int fd : silent) {
     ::close(fd);
   }
@@ -144,9 +155,7 @@
 TEST_CASE("a handler learns that its caller has gone") {
   Fixture f(/*tls=*/false);
   f.Start();
-  int fd = ConnectTo(f.server->endpoint());
-  const std::string request = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n";
-  REQUIRE(::write(fd, request.data(), request.size()) > 0);
+  int fd = f.Ask("/wait");
   REQUIRE(WaitFor([&] { return f.handler.calls == 1; }));
   ::close(fd);
   CHECK(WaitFor([&] { return f.handler.saw_gone.load(); }));
@@ -156,9 +165,7 @@
   Fixture f(/*tls=*/false);
   f.settings.write_timeout = milliseconds(200);
   f.Start();
-  int fd = ConnectTo(f.server->endpoint());
-  const std::string request = "GET /long HTTP/1.1\r\nHost: a\r\n\r\n";
-  REQUIRE(::write(fd, request.data(), request.size()) > 0);
+  int fd = f.Ask("/long");
   CHECK(WaitFor([&] { return f.handler.saw_gone.load(); }));
   // The writer was held back by the reader, not by the end of its memory.
   CHECK(f.handler.written < size_t{64} << 20);
@@ -193,9 +200,7 @@
 TEST_CASE("a server that ends cuts what is running") {
   Fixture f(/*tls=*/false);
   f.Start();
-  int fd = ConnectTo(f.server->endpoint());
-  const std::string request = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n";
-  REQUIRE(::write(fd, request.data(), request.size()) > 0);
+  int fd = f.Ask("/wait");
   REQUIRE(WaitFor([&] { return f.handler.calls == 1; }));
   auto begin = steady_clock::now();
   f.server.reset();
--- a/Source/UnitTests/Core/Http/tls_caller.cc
+++ b/Source/UnitTests/Core/Http/tls_caller.cc
@@ -64,13 +64,27 @@
   std::filesystem::remove_all(directory_, ec);
 }
 
+int ListenOnLoopback(Endpoint* at) {
+  constexpr int kWaiting = 16;
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t n = sizeof(address);
+  REQUIRE(::bind(fd, reinterpret_cast<sockaddr*>(&address), n) == 0);
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
+  ::listen(fd, kWaiting);
+  *at = {"127.0.0.1", ntohs(address.sin_port)};
+  return fd;
+}
+
 int ConnectTo(const Endpoint& to) {
   int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &kMostSilence, sizeof(kMostSilence));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(to.port);
-  inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
+  inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
   REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&address),
                     sizeof(address)) == 0);
   return fd;
--- a/Source/UnitTests/Core/Http/tls_caller.h
+++ b/Source/UnitTests/Core/Http/tls_caller.h
@@ -30,6 +30,10 @@
 /// The same without TLS. Sends the end of its own side after the bytes.
 std::string PlainExchange(const Endpoint& to, std::string_view bytes);
 
+/// Listens on a port that the system chooses, without accepting; the caller
+/// closes it. `at` is set to the address.
+int ListenOnLoopback(Endpoint* at);
+
 /// Connects; the caller closes it. Pre: something listens.
 int ConnectTo(const Endpoint& to);
 
