Soaks side by side no longer disturb each other

Instances' ports were found, freed and bound later, on the address that every process uses.

Change: each process listens on a loopback address of its own, by its number, and holds the ports until its instances start.

--- a/Source/BasilvalveSoak/fleet.cc
+++ b/Source/BasilvalveSoak/fleet.cc
@@ -31,15 +31,18 @@
   return route;
 }
 
-// A port that was free a moment ago: instances know their own addresses before
-// they listen.
-Result<uint16_t> FreePort(net::EventLoop* loop) {
-  auto listener =
-      net::Listener::Create(loop, {"127.0.0.1", 0}, Millis(1000), [](auto) {});
+// Listeners that keep ports until their instances start: those know their own
+// addresses before they listen.
+using Reservations = std::vector<std::unique_ptr<net::Listener>>;
+
+Result<net::Endpoint> Reserve(net::EventLoop* loop, Reservations* held) {
+  auto listener = net::Listener::Create(loop, {LoopbackOfProcess(), 0},
+                                        Millis(1000), [](auto) {});
   if (!listener) {
     return tl::make_unexpected(listener.error());
   }
-  return (*listener)->LocalEndpoint().port;
+  held->push_back(std::move(*listener));
+  return held->back()->LocalEndpoint();
 }
 
 }  // namespace
@@ -49,17 +52,18 @@
     : loop_(loop), ledger_(ledger), random_(random), size_(size) {}
 
 Result<void> Fleet::Start() {
+  Reservations held;
   for (const char* region : kRegions) {
     for (int i = 0; i < size_.instances; ++i) {
-      auto front = FreePort(loop_);
-      auto peer = FreePort(loop_);
+      auto front = Reserve(loop_, &held);
+      auto peer = Reserve(loop_, &held);
       if (!front || !peer) {
         return tl::make_unexpected((front ? peer : front).error());
       }
       Instance& instance = instances_.emplace_back();
       instance.settings = SettingsOf(region, i);
-      instance.settings.front = {"127.0.0.1", *front};
-      instance.settings.peer = {"127.0.0.1", *peer};
+      instance.settings.front = *front;
+      instance.settings.peer = *peer;
       instance.settings.self.front = instance.settings.front.Text();
       instance.settings.self.peer = instance.settings.peer.Text();
       instance.timer = std::make_unique<net::Timer>(loop_);
@@ -67,7 +71,7 @@
     for (int i = 0; i < size_.upstreams; ++i) {
       Place& place = upstreams_.emplace_back();
       place.record.service = kService;
-      place.record.host = "127.0.0.1";
+      place.record.host = LoopbackOfProcess();
       place.record.zone = flow::ZoneId(region);
       place.record.region = RegionId(region);
       place.record.slots = 64;
@@ -78,6 +82,7 @@
   for (Place& place : upstreams_) {
     StartUpstream(&place, 0);
   }
+  held.clear();
   for (Instance& instance : instances_) {
     if (auto started = StartInstance(&instance); !started) {
       return started;
--- a/Source/BasilvalveSoak/soak_upstream.cc
+++ b/Source/BasilvalveSoak/soak_upstream.cc
@@ -1,5 +1,7 @@
 #include "BasilvalveSoak/soak_upstream.h"
 
+#include <unistd.h>
+
 #include "Core/Net/message.h"
 
 namespace basilvalve::soak {
@@ -25,6 +27,16 @@
 
 }  // namespace
 
+std::string LoopbackOfProcess() {
+  // Above the addresses that people and tests use by hand.
+  constexpr unsigned kFirst = 64;
+  constexpr unsigned kByte = 256;
+  auto pid = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(kFirst + pid / kByte / kByte % kFirst) + "." +
+         std::to_string(pid / kByte % kByte) + "." +
+         std::to_string(pid % kByte);
+}
+
 std::unique_ptr<SoakUpstream> SoakUpstream::Start(net::EventLoop* loop,
                                                   Ledger* ledger,
                                                   Random* random,
@@ -48,7 +60,7 @@
 
 bool SoakUpstream::Listen(uint16_t port) {
   auto listener =
-      net::Listener::Create(loop_, {"127.0.0.1", port}, kDeadAfter,
+      net::Listener::Create(loop_, {LoopbackOfProcess(), port}, kDeadAfter,
                             [this](std::unique_ptr<net::Socket> socket) {
                               Accept(std::move(socket));
                             });
--- a/Source/BasilvalveSoak/soak_upstream.h
+++ b/Source/BasilvalveSoak/soak_upstream.h
@@ -12,6 +12,10 @@
 
 namespace basilvalve::soak {
 
+/// A loopback address that only this process listens on: what is down in one
+/// soak is not answered by another. Thread safe.
+std::string LoopbackOfProcess();
+
 /// How an upstream treats its callers.
 enum class Mood {
   kWell,
