LOST: what is known, three hypotheses, and the lines that tell them apart

Cause: the logs of an instance show that a call ended, not that a connection ended with bytes of a response unwritten or of a request unanswered, so that the three ways in which a request could end without an answer look alike. Change: the connection keeps count, the instance logs connection_bytes_lost with the side that closed, counts both kinds in a metric, and names the unwritten bytes at the end of a drain. No decision is changed.

--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -54,6 +54,11 @@
           .Help("Datagrams that were not a valid heartbeat.")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Counter>& bytes_lost =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_bytes_lost_total")
+          .Help("Bytes that ended with a connection, by kind.")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& latency =
       prometheus::BuildHistogram()
           .Name("basilvalve_edge_latency_seconds")
@@ -116,6 +121,13 @@
   impl_->invalid_datagrams.Increment();
 }
 
+void EdgeMetrics::CountBytesLost(uint64_t unwritten, uint64_t discarded) {
+  impl_->bytes_lost.Add({{"kind", "unwritten"}})
+      .Increment(static_cast<double>(unwritten));
+  impl_->bytes_lost.Add({{"kind", "discarded"}})
+      .Increment(static_cast<double>(discarded));
+}
+
 void EdgeMetrics::SetConnectionsOpened(uint64_t upstreams, uint64_t peers) {
   impl_->connections.Add({{"to", "upstreams"}})
       .Set(static_cast<double>(upstreams));
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -29,6 +29,9 @@
   void CountStoreCall(std::string_view kind, int status);
   void CountCrossRegionBytes(uint64_t bytes);
   void CountInvalidDatagram();
+  /// Counts the bytes that ended with a connection: of responses that were not
+  /// written, and of requests that were read and discarded.
+  void CountBytesLost(uint64_t unwritten, uint64_t discarded);
   void SetConnectionsOpened(uint64_t upstreams, uint64_t peers);
   void SetStateVersion(uint64_t version);
   /// All metrics in the Prometheus text exposition format.
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -163,7 +163,9 @@
   };
   auto connection = std::make_shared<net::ServerConnection>(
       loop_, std::move(socket), limits, on_request,
-      [this](net::ServerConnection* ended) { connections_.erase(ended); });
+      [this, is_peer](net::ServerConnection* ended) {
+        OnConnectionClosed(ended, is_peer);
+      });
   connections_[connection.get()] = connection;
   connection->Start();
   if (is_draining_ && !is_peer) {
@@ -171,6 +173,20 @@
   }
 }
 
+void EdgeNode::OnConnectionClosed(net::ServerConnection* ended, bool is_peer) {
+  net::LostBytes lost = ended->lost_bytes();
+  if (lost.any()) {
+    metrics_.CountBytesLost(lost.unwritten, lost.discarded);
+    LogEvent(LogLevel::kInfo, "edge", "connection_bytes_lost")
+        .With("side", is_peer ? "peer" : "caller")
+        .With("unwritten", static_cast<int64_t>(lost.unwritten))
+        .With("discarded", static_cast<int64_t>(lost.discarded))
+        .With("closed_by", ended->is_closed_by_peer() ? "peer" : "us")
+        .With("draining", is_draining_ ? "yes" : "no");
+  }
+  connections_.erase(ended);
+}
+
 void EdgeNode::RejectRequest(const net::ServerConnection::Ptr& caller,
                              const net::ServerRequest& request, int status,
                              std::string_view reason) {
@@ -655,6 +671,14 @@
                      [](const auto& entry) { return entry.second->busy(); });
 }
 
+size_t EdgeNode::UnwrittenBytes() const {
+  size_t n = 0;
+  for (const auto& [raw, connection] : connections_) {
+    n += connection->lost_bytes().unwritten;
+  }
+  return n;
+}
+
 void EdgeNode::CheckDrained() {
   Micros elapsed = loop_->Now() - drain_started_at_;
   if (elapsed >= kCloseIdleAfter && !idle_connections_closed_) {
@@ -673,6 +697,7 @@
   if (is_over) {
     LogEvent(LogLevel::kInfo, "edge", "drain_ended")
         .With("calls_aborted", static_cast<int64_t>(exchanges_.size()))
+        .With("unwritten_bytes", static_cast<int64_t>(UnwrittenBytes()))
         .With("took_ms", std::chrono::floor<Millis>(elapsed).count());
     on_drained_();
     return;
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -98,6 +98,7 @@
            const CallDialect* dialect);
   std::optional<Error> Open();
   void Accept(std::unique_ptr<net::Socket> socket, bool is_peer);
+  void OnConnectionClosed(net::ServerConnection* ended, bool is_peer);
   void OnCall(const net::ServerConnection::Ptr& caller,
               net::ServerRequest request);
   void OnPeerCall(const net::ServerConnection::Ptr& caller,
@@ -127,6 +128,8 @@
   void Sweep();
   /// Whether part of a request has arrived on any connection.
   bool IsReadingRequest() const;
+  /// Bytes of responses that no connection has written yet.
+  size_t UnwrittenBytes() const;
   void CheckDrained();
   static bool AllowsColdUpstream(void* user_data,
                                  const flow::Upstream& upstream);
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -68,6 +68,7 @@
   if (half_closed_) {
     // Discards input after our shutdown: closing the socket with unread data
     // would reset the connection.
+    discarded_bytes_ += got.bytes;
     WaitForBytes();
     return;
   }
@@ -222,6 +223,10 @@
   }
 }
 
+LostBytes ServerConnection::lost_bytes() const {
+  return {write_buffer_.size(), discarded_bytes_};
+}
+
 bool ServerConnection::is_write_buffer_full() const {
   return write_buffer_.size() > kWriteBufferHighWatermark;
 }
@@ -277,6 +282,7 @@
   }
   half_closed_ = true;
   handling_ = false;
+  discarded_bytes_ += unparsed_.size();
   unparsed_.clear();
   socket_->ShutdownWrite();
   timer_.Set(kLingerTimeout,
@@ -289,6 +295,7 @@
     return;
   }
   terminated_ = true;
+  closed_by_peer_ = peer_disconnected && !half_closed_;
   auto self = shared_from_this();
   timer_.Cancel();
   socket_->Close();
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -33,6 +33,17 @@
   bool body_too_large = false;
 };
 
+/// Bytes that a connection took from its caller or its owner and did not pass
+/// on.
+struct LostBytes {
+  /// Bytes of responses that were not written to the socket.
+  size_t unwritten = 0;
+  /// Bytes of requests that were read and not delivered.
+  size_t discarded = 0;
+
+  bool any() const { return unwritten > 0 || discarded > 0; }
+};
+
 /// Reads requests and writes their responses in order. The owner holds it until
 /// `on_closed` is called. Not thread safe.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -82,6 +93,11 @@
   /// Whether the next response has to carry "Connection: close". Not thread
   /// safe.
   bool is_closing() const { return close_when_idle_; }
+  /// What would be lost if the connection ended now, and what was. Not thread
+  /// safe.
+  LostBytes lost_bytes() const;
+  /// Whether the other side closed or broke the connection. Not thread safe.
+  bool is_closed_by_peer() const { return closed_by_peer_; }
   /// Whether the write buffer exceeds its high watermark, so that the producer
   /// should pause. Not thread safe.
   bool is_write_buffer_full() const;
@@ -112,6 +128,7 @@
   std::string unparsed_;
   std::string body_;
   WriteBuffer write_buffer_;
+  size_t discarded_bytes_ = 0;
   bool handling_ = false;
   bool parsing_ = false;
   bool head_parsed_ = false;
@@ -120,6 +137,7 @@
   bool half_closed_ = false;
   bool waiting_writable_ = false;
   bool terminated_ = false;
+  bool closed_by_peer_ = false;
 };
 
 }  // namespace basilvalve::net
