Event loop on virtual time, for tests of an instance

Cause: a test of what happens over seconds (drains, idle limits, silence) waits for them, and two of them cannot be timed against each other. Change: EventLoop takes its time from the system or, in tests, from a virtual clock that advances to the next timer once no socket is ready.

--- a/Source/Core/Net/event_loop.h
+++ b/Source/Core/Net/event_loop.h
@@ -10,24 +10,33 @@
 
 namespace basilvalve::net {
 
-/// Runs the callbacks of sockets and timers on the thread that calls Run. The
-/// clock is CLOCK_BOOTTIME, which also advances while the machine is suspended.
-/// Not thread safe, except for Post, Stop and Now.
+/// Which time a loop's clock and timers follow.
+enum class TimeSource {
+  /// CLOCK_BOOTTIME, which also advances while the machine is suspended.
+  kSystem,
+  /// Advances to the next timer once no socket of the process is ready. For
+  /// tests whose sockets all belong to this loop.
+  kVirtual,
+};
+
+/// Runs the callbacks of sockets and timers on the thread that calls Run. Not
+/// thread safe, except for Post, Stop and Now.
 class EventLoop : public Clock {
  public:
-  EventLoop();
+  explicit EventLoop(TimeSource time_source = TimeSource::kSystem);
   ~EventLoop() override;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  /// Runs callbacks until Stop is called. Not thread safe.
+  /// Runs callbacks until Stop is called. Pre: not on virtual time. Not thread
+  /// safe.
   void Run();
   /// Runs callbacks until `done` returns true or `timeout` has passed; returns
   /// whether `done` returned true. For tests and tools. Not thread safe.
   bool RunUntil(const std::function<bool()>& done, Millis timeout);
   /// Makes Run return after the current callback. Thread safe.
   void Stop();
-  /// Time since boot, including suspension. Thread safe.
+  /// The time of the loop's time source. Thread safe.
   Instant Now() const override;
   /// Queues `fn` to run once on the loop thread, after the current callback.
   /// Thread safe.
@@ -45,6 +54,8 @@
   Impl& impl() { return *impl_; }
 
  private:
+  bool RunOnVirtualTime(const std::function<bool()>& done, Millis timeout);
+
   std::unique_ptr<Impl> impl_;
   std::vector<char> scratch_;
 };
--- a/Source/UnitTests/Core/Edge/edge_fixture.cc
+++ b/Source/UnitTests/Core/Edge/edge_fixture.cc
@@ -109,7 +109,8 @@
   });
 }
 
-EdgeFixture::EdgeFixture(const std::string& region) {
+EdgeFixture::EdgeFixture(const std::string& region, net::TimeSource time)
+    : loop(time) {
   EdgeSettings settings;
   settings.self.id = InstanceId("instance");
   settings.self.data_centre = flow::DataCentreId("zone");
--- a/Source/UnitTests/Core/Edge/edge_fixture.h
+++ b/Source/UnitTests/Core/Edge/edge_fixture.h
@@ -63,7 +63,8 @@
 /// not resumable.
 class EdgeFixture {
  public:
-  explicit EdgeFixture(const std::string& region = "north");
+  explicit EdgeFixture(const std::string& region = "north",
+                       net::TimeSource time = net::TimeSource::kSystem);
 
   ScriptedUpstream& AddUpstream(const std::string& id,
                                 ScriptedUpstream::Script script);
