Edge: the accepted connections of an instance are a class of their own

Change: AcceptedConnections takes them over, with their limits, the count of lost bytes and the winding up. No behaviour changes.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -41,15 +41,6 @@
 constexpr Millis kExitMargin{250};
 constexpr Millis kStartupRetryAfter{300};
 
-net::ServerLimits PeerLimits() {
-  net::ServerLimits limits;
-  // The forwarding instance has already enforced the limits for callers.
-  limits.header_bytes = 64 * 1024;
-  limits.body_bytes = 64ULL * 1024 * 1024;
-  limits.idle_timeout = Seconds(60);
-  return limits;
-}
-
 }  // namespace
 
 EdgeNode::EdgeNode(net::EventLoop* loop, EdgeSettings settings,
@@ -64,6 +55,14 @@
       dispatchers_(settings_.self, loop->Now()),
       upstream_pool_(loop, settings_.upstream_connections),
       peer_pool_(loop, settings_.peer_connections),
+      connections_(
+          loop, &metrics_,
+          [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
+                 net::ServerRequest request) {
+            side == ConnectionSide::kPeer
+                ? OnPeerCall(caller, std::move(request))
+                : OnCall(caller, std::move(request));
+          }),
       heartbeat_timer_(loop),
       sweep_timer_(loop),
       drain_timer_(loop) {
@@ -98,14 +97,16 @@
 
 std::optional<Error> EdgeNode::Open() {
   auto public_listener = net::Listener::Create(
-      loop_, settings_.public_address, kUnackedTimeout,
-      [this](auto socket) { Accept(std::move(socket), /*is_peer=*/false); });
+      loop_, settings_.public_address, kUnackedTimeout, [this](auto socket) {
+        connections_.Accept(ConnectionSide::kCaller, std::move(socket));
+      });
   if (!public_listener) {
     return public_listener.error();
   }
   auto peer_listener = net::Listener::Create(
-      loop_, settings_.peer_address, kUnackedTimeout,
-      [this](auto socket) { Accept(std::move(socket), /*is_peer=*/true); });
+      loop_, settings_.peer_address, kUnackedTimeout, [this](auto socket) {
+        connections_.Accept(ConnectionSide::kPeer, std::move(socket));
+      });
   if (!peer_listener) {
     return peer_listener.error();
   }
@@ -145,46 +146,16 @@
       .With("routes", static_cast<int64_t>(state->routes().size()));
   metrics_.SetStateVersion(state->version());
   state_ = std::move(state);
+  connections_.SetCallerLimits(CallerLimits());
 }
 
-void EdgeNode::Accept(std::unique_ptr<net::Socket> socket, bool is_peer) {
-  net::ServerLimits limits;
-  if (is_peer) {
-    limits = PeerLimits();
-  } else if (state_) {
-    const flow::IngressLimits& ingress = state_->limits();
-    limits = {ingress.header_bytes, ingress.body_bytes, ingress.header_timeout,
-              ingress.idle_timeout};
-  }
-  auto on_request = [this, is_peer](const net::ServerConnection::Ptr& caller,
-                                    net::ServerRequest request) {
-    is_peer ? OnPeerCall(caller, std::move(request))
-            : OnCall(caller, std::move(request));
-  };
-  auto connection = std::make_shared<net::ServerConnection>(
-      loop_, std::move(socket), limits, on_request,
-      [this, is_peer](net::ServerConnection* ended) {
-        OnConnectionClosed(ended, is_peer);
-      });
-  connections_[connection.get()] = connection;
-  connection->Start();
-  if (is_draining_ && !is_peer) {
-    connection->CloseAfterNextResponse();
+net::ServerLimits EdgeNode::CallerLimits() const {
+  if (!state_) {
+    return {};
   }
-}
-
-void EdgeNode::OnConnectionClosed(net::ServerConnection* ended, bool is_peer) {
-  net::LostBytes lost = ended->lost_bytes();
-  if (lost.any()) {
-    metrics_.CountBytesLost(lost.unwritten, lost.discarded);
-    LogEvent(LogLevel::kInfo, "edge", "connection_bytes_lost")
-        .With("side", is_peer ? "peer" : "caller")
-        .With("unwritten", static_cast<int64_t>(lost.unwritten))
-        .With("discarded", static_cast<int64_t>(lost.discarded))
-        .With("closed_by", ended->is_closed_by_peer() ? "peer" : "us")
-        .With("draining", is_draining_ ? "yes" : "no");
-  }
-  connections_.erase(ended);
+  const flow::IngressLimits& ingress = state_->limits();
+  return {ingress.header_bytes, ingress.body_bytes, ingress.header_timeout,
+          ingress.idle_timeout};
 }
 
 void EdgeNode::RejectRequest(const net::ServerConnection::Ptr& caller,
@@ -659,45 +630,25 @@
   LogEvent(LogLevel::kInfo, "edge", "drain_began")
       .With("calls", static_cast<int64_t>(exchanges_.size()))
       .With("connections", static_cast<int64_t>(connections_.size()));
-  for (const auto& [raw, connection] : connections_) {
-    connection->CloseAfterNextResponse();
-  }
+  connections_.AnnounceClose();
   SendHeartbeats();
   CheckDrained();
 }
 
-bool EdgeNode::IsReadingRequest() const {
-  return std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& entry) { return entry.second->busy(); });
-}
-
-size_t EdgeNode::UnwrittenBytes() const {
-  size_t n = 0;
-  for (const auto& [raw, connection] : connections_) {
-    n += connection->lost_bytes().unwritten;
-  }
-  return n;
-}
-
 void EdgeNode::CheckDrained() {
   Micros elapsed = loop_->Now() - drain_started_at_;
   if (elapsed >= kCloseIdleAfter && !idle_connections_closed_) {
     idle_connections_closed_ = true;
-    std::vector<net::ServerConnection::Ptr> open;
-    for (const auto& [raw, connection] : connections_) {
-      open.push_back(connection);
-    }
-    for (const auto& connection : open) {
-      connection->CloseWhenIdle();
-    }
+    connections_.CloseIdle();
   }
   bool is_over = elapsed >= settings_.stop_grace - kExitMargin ||
                  (elapsed >= kRejectCallsAfter && exchanges_.empty() &&
-                  !IsReadingRequest());
+                  !connections_.HasUnfinishedWork());
   if (is_over) {
     LogEvent(LogLevel::kInfo, "edge", "drain_ended")
         .With("calls_aborted", static_cast<int64_t>(exchanges_.size()))
-        .With("unwritten_bytes", static_cast<int64_t>(UnwrittenBytes()))
+        .With("unwritten_bytes",
+              static_cast<int64_t>(connections_.UnwrittenBytes()))
         .With("took_ms", std::chrono::floor<Millis>(elapsed).count());
     on_drained_();
     return;
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Core/Edge/accepted_connections.h"
 #include "Core/Edge/catalog_codec.h"
 #include "Core/Edge/exchange.h"
 
@@ -97,8 +98,7 @@
   EdgeNode(net::EventLoop* loop, EdgeSettings settings,
            const CallDialect* dialect);
   std::optional<Error> Open();
-  void Accept(std::unique_ptr<net::Socket> socket, bool is_peer);
-  void OnConnectionClosed(net::ServerConnection* ended, bool is_peer);
+  net::ServerLimits CallerLimits() const;
   void OnCall(const net::ServerConnection::Ptr& caller,
               net::ServerRequest request);
   void OnPeerCall(const net::ServerConnection::Ptr& caller,
@@ -126,10 +126,6 @@
   void LogStall();
   void LogUnresponsiveInstances();
   void Sweep();
-  /// Whether part of a request has arrived on any connection.
-  bool IsReadingRequest() const;
-  /// Bytes of responses that no connection has written yet.
-  size_t UnwrittenBytes() const;
   void CheckDrained();
   static bool AllowsColdUpstream(void* user_data,
                                  const flow::Upstream& upstream);
@@ -151,8 +147,7 @@
   std::unique_ptr<net::Listener> public_listener_;
   std::unique_ptr<net::Listener> peer_listener_;
   std::unique_ptr<net::DatagramSocket> datagrams_;
-  std::unordered_map<net::ServerConnection*, net::ServerConnection::Ptr>
-      connections_;
+  AcceptedConnections connections_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
   // Other instances that were unresponsive at the last sweep.
   std::set<InstanceId> unresponsive_instances_;
