LOST: a request that crosses the close of an idle connection is not read

What callers saw: a request sent while its connection was being closed got no answer, and a call that must not run twice was not sent again by its caller, since callers repeat it only if it was not read. Cause: an idle connection (idle limit, 2.5 s into a drain) was shut down for writing and read for another second, and what came was thrown away; a request that had arrived and was not read yet when the timer fired, too. Change: CloseIdle first reads; what has arrived is served, as the connection's last request. Else the connection is closed at once and nothing more is read. Evidence: both tests failed before (requests 0 == 1; 50 bytes discarded).

--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -38,7 +38,7 @@
 void ServerConnection::StartIdleTimer() {
   timer_.Set(limits_.idle_timeout, [this] {
     if (!busy() && !terminated_) {
-      CloseGracefully();
+      CloseIdle();
     }
   });
 }
@@ -66,8 +66,8 @@
     return;
   }
   if (half_closed_) {
-    // Discards input after our shutdown: closing the socket with unread data
-    // would reset the connection.
+    // Discards input after our shutdown: closing the socket with unread
+    // data would reset the connection.
     discarded_bytes_ += got.bytes;
     WaitForBytes();
     return;
@@ -271,9 +271,24 @@
 
 void ServerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (!busy() && !terminated_ && !half_closed_ && write_buffer_.empty()) {
-    CloseGracefully();
+  if (IsIdle()) {
+    CloseIdle();
+  }
+}
+
+void ServerConnection::CloseIdle() {
+  auto self = shared_from_this();
+  close_when_idle_ = true;
+  auto buf = loop_->scratch();
+  IoResult got = socket_->Read(buf);
+  if (got.status == IoStatus::kDone) {
+    Consume(std::string_view(buf.data(), got.bytes));
+    return;
   }
+  // A request that crosses the close stays unread, so that its caller sees a
+  // reset and may send it elsewhere.
+  socket_->ShutdownWrite();
+  Terminate(/*peer_disconnected=*/false);
 }
 
 void ServerConnection::CloseGracefully() {
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -113,8 +113,13 @@
   void Flush();
   void OnWritten();
   void CloseGracefully();
+  void CloseIdle();
   void Terminate(bool peer_disconnected);
   void StartIdleTimer();
+  /// Whether there is neither a request nor a response under way.
+  bool IsIdle() const {
+    return !busy() && !terminated_ && !half_closed_ && write_buffer_.empty();
+  }
 
   EventLoop* loop_;
   std::unique_ptr<Socket> socket_;
--- /dev/null
+++ b/Source/UnitTests/Core/Net/server_connection_test.cc
@@ -0,0 +1,97 @@
+#include "Core/Net/server_connection.h"
+
+#include <catch2/catch.hpp>
+
+namespace basilvalve::net {
+namespace {
+
+const std::string kRequest =
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
+constexpr size_t kLargeBody = size_t{16} * 1024 * 1024;
+
+// One accepted connection and the caller at its other end, on virtual time.
+class Pair {
+ public:
+  explicit Pair(const ServerLimits& limits) {
+    auto listener = Listener::Create(
+        &loop, {"127.0.0.1", 0}, Millis(2000),
+        [this, limits](std::unique_ptr<Socket> socket) {
+          server = std::make_shared<ServerConnection>(
+              &loop, std::move(socket), limits,
+              [this](const ServerConnection::Ptr&, const ServerRequest&) {
+                ++requests;
+                server->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                              std::to_string(body_bytes) + "\r\n\r\n" +
+                              std::string(body_bytes, 'x'));
+                server->EndResponse(keeps_alive);
+              },
+              [this](ServerConnection*) { is_closed = true; });
+          server->Start();
+        });
+    REQUIRE(listener);
+    listener_ = std::move(*listener);
+    caller = Socket::Connect(&loop, listener_->LocalEndpoint(), Millis(2000),
+                             [](bool) {});
+    REQUIRE(loop.RunUntil([&] { return server != nullptr; }, Millis(1000)));
+  }
+
+  // Reads what has arrived; returns false at the end of the connection.
+  bool Read() {
+    std::vector<char> buf(size_t{1024} * 1024);
+    while (true) {
+      IoResult got = caller->Read(buf);
+      if (got.status != IoStatus::kDone) {
+        return got.status == IoStatus::kBlocked;
+      }
+      received += got.bytes;
+    }
+  }
+  void Pass(Millis time) {
+    loop.RunUntil([] { return false; }, time);
+  }
+
+  EventLoop loop{TimeSource::kVirtual};
+  ServerConnection::Ptr server;
+  std::unique_ptr<Socket> caller;
+  size_t body_bytes = 4;
+  bool keeps_alive = true;
+  int requests = 0;
+  bool is_closed = false;
+  size_t received = 0;
+
+ private:
+  std::unique_ptr<Listener> listener_;
+};
+
+ServerLimits IdleAfter(Millis time) {
+  ServerLimits limits;
+  limits.idle_timeout = time;
+  return limits;
+}
+
+TEST_CASE(
+    "a request that has arrived when an idle connection closes is served") {
+  Pair pair(IdleAfter(Millis(5000)));
+  pair.caller->Write(kRequest);
+  pair.server->CloseWhenIdle();
+  REQUIRE(pair.loop.RunUntil([&] { return !pair.Read() || pair.received > 0; },
+                             Millis(2000)));
+  CHECK(pair.requests == 1);
+  CHECK(pair.received > 0);
+  CHECK(pair.server->lost_bytes().discarded == 0);
+}
+
+TEST_CASE(
+    "a request that crosses the close of an idle connection stays unread") {
+  Pair pair(IdleAfter(Millis(1000)));
+  pair.Pass(Millis(999));
+  CHECK_FALSE(pair.is_closed);
+  REQUIRE(pair.loop.RunUntil([&] { return !pair.Read(); }, Millis(100)));
+  pair.caller->Write(kRequest);
+  pair.Pass(Millis(1));
+  CHECK(pair.is_closed);
+  CHECK(pair.server->lost_bytes().discarded == 0);
+}
+
+}  // namespace
+}  // namespace basilvalve::net
