LOST: the idle limit does not cut a response that is read slowly

What callers saw: the end of a large answer was missing. Cause: a connection counts as idle once its response was handed over, although bytes of it wait in the write buffer; after the idle limit it was closed. A drain that found such a connection left it open afterwards. Change: a connection is idle once the buffer is empty, too.

--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -37,8 +37,10 @@
 
 void ServerConnection::StartIdleTimer() {
   timer_.Set(limits_.idle_timeout, [this] {
-    if (!busy() && !terminated_) {
+    if (IsIdle()) {
       CloseIdle();
+    } else if (!busy() && !terminated_ && !half_closed_) {
+      StartIdleTimer();
     }
   });
 }
@@ -273,6 +275,8 @@
   close_when_idle_ = true;
   if (IsIdle()) {
     CloseIdle();
+  } else if (!busy()) {
+    close_after_write_ = true;
   }
 }
 
--- a/Source/UnitTests/Core/Net/server_connection_test.cc
+++ b/Source/UnitTests/Core/Net/server_connection_test.cc
@@ -93,5 +93,17 @@
   CHECK(pair.server->lost_bytes().discarded == 0);
 }
 
+TEST_CASE("a response that is read slowly is not cut by the idle limit") {
+  Pair pair(IdleAfter(Millis(1000)));
+  pair.body_bytes = kLargeBody;
+  pair.caller->Write(kRequest);
+  REQUIRE(pair.loop.RunUntil([&] { return pair.requests == 1; }, Millis(500)));
+  CHECK(pair.server->lost_bytes().unwritten > 0);
+  pair.Pass(Millis(3000));
+  CHECK(pair.loop.RunUntil(
+      [&] { return !pair.Read() || pair.received > kLargeBody; }, Millis(500)));
+  CHECK(pair.received > kLargeBody);
+}
+
 }  // namespace
 }  // namespace basilvalve::net
