LOST: open connections follow the limits of a later desired state

What callers saw: beside a change of the desired state that raised the idle limit, a connection was closed under a caller that still counted on it. Cause: a connection kept the limits in force when it was accepted; one that was accepted before the first desired state kept the defaults. Change: SetDesiredState passes the limits on to callers' open connections. A request that is being read keeps the limits on its size. Evidence: the test failed before (requests 0 == 1).

--- a/Source/Core/Edge/accepted_connections.cc
+++ b/Source/Core/Edge/accepted_connections.cc
@@ -62,6 +62,11 @@
 
 void AcceptedConnections::SetCallerLimits(const net::ServerLimits& limits) {
   caller_limits_ = limits;
+  for (const auto& [raw, it] : connections_) {
+    if (it.side == ConnectionSide::kCaller) {
+      it.connection->SetLimits(limits);
+    }
+  }
 }
 
 void AcceptedConnections::AnnounceClose() {
--- a/Source/Core/Edge/accepted_connections.h
+++ b/Source/Core/Edge/accepted_connections.h
@@ -26,7 +26,8 @@
 
   /// Takes over a new connection and reads its requests. Not thread safe.
   void Accept(ConnectionSide side, std::unique_ptr<net::Socket> socket);
-  /// Sets the limits of callers' later connections. Not thread safe.
+  /// Sets the limits of the callers' connections, open ones included. Not
+  /// thread safe.
   void SetCallerLimits(const net::ServerLimits& limits);
   /// Has each connection close after its next response, callers' later
   /// connections included. Not thread safe.
--- a/Source/Core/Net/message.cc
+++ b/Source/Core/Net/message.cc
@@ -303,6 +303,11 @@
   impl_->parse_error = ParseError::kNone;
 }
 
+void MessageParser::SetLimits(uint32_t header_limit, uint64_t body_limit) {
+  impl_->header_limit = header_limit;
+  impl_->body_limit = body_limit;
+}
+
 ParseError MessageParser::parse_error() const { return impl_->parse_error; }
 
 bool MessageParser::has_head() const {
--- a/Source/Core/Net/message.h
+++ b/Source/Core/Net/message.h
@@ -74,6 +74,9 @@
   /// thread safe.
   void Reset();
 
+  /// Sets the limits of the next message. Not thread safe.
+  void SetLimits(uint32_t header_limit, uint64_t body_limit);
+
   /// kNone unless the current message was rejected. Not thread safe.
   ParseError parse_error() const;
   /// Whether the head is complete. Not thread safe.
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -280,6 +280,14 @@
   }
 }
 
+void ServerConnection::SetLimits(const ServerLimits& limits) {
+  limits_ = limits;
+  parser_.SetLimits(limits.header_bytes, limits.body_bytes);
+  if (IsIdle()) {
+    StartIdleTimer();
+  }
+}
+
 void ServerConnection::CloseIdle() {
   auto self = shared_from_this();
   close_when_idle_ = true;
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -87,6 +87,10 @@
   /// Closes the connection immediately if it is idle, otherwise after the next
   /// response. Not thread safe.
   void CloseWhenIdle();
+  /// Replaces the limits. A request that is being read keeps the limits on its
+  /// size; an idle connection may stay open for the whole new idle timeout. Not
+  /// thread safe.
+  void SetLimits(const ServerLimits& limits);
   /// Whether a request was received, even partially, and its response is not
   /// complete. Not thread safe.
   bool busy() const { return handling_ || parsing_; }
--- a/Source/UnitTests/Core/Net/server_connection_test.cc
+++ b/Source/UnitTests/Core/Net/server_connection_test.cc
@@ -105,5 +105,16 @@
   CHECK(pair.received > kLargeBody);
 }
 
+TEST_CASE("an idle connection follows a limit that is raised") {
+  Pair pair(IdleAfter(Millis(1000)));
+  pair.Pass(Millis(500));
+  pair.server->SetLimits(IdleAfter(Millis(4000)));
+  pair.Pass(Millis(3200));
+  pair.caller->Write(kRequest);
+  REQUIRE(pair.loop.RunUntil([&] { return !pair.Read() || pair.received > 0; },
+                             Millis(100)));
+  CHECK(pair.requests == 1);
+}
+
 }  // namespace
 }  // namespace basilvalve::net
