LOST: no request is taken behind the last response of a connection

What callers saw: nothing yet; found while reading for the same class. Cause: between the end of a last response and its last written byte, a further request was read, passed on to an upstream, and lost its connection. Change: such bytes are discarded, as after the shutdown. Evidence: the test failed before (the request was taken).

--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -67,8 +67,8 @@
     Terminate(/*peer_disconnected=*/true);
     return;
   }
-  if (half_closed_) {
-    // Discards input after our shutdown: closing the socket with unread
+  if (half_closed_ || close_after_write_) {
+    // Discards input after our last response: closing the socket with unread
     // data would reset the connection.
     discarded_bytes_ += got.bytes;
     WaitForBytes();
@@ -91,7 +91,8 @@
 
 void ServerConnection::ParsePending() {
   auto self = shared_from_this();
-  while (!handling_ && !terminated_ && !half_closed_ && !unparsed_.empty()) {
+  while (!handling_ && !terminated_ && !half_closed_ && !close_after_write_ &&
+         !unparsed_.empty()) {
     if (!parsing_) {
       parsing_ = true;
       timer_.Set(limits_.header_timeout,
--- a/Source/UnitTests/Core/Net/server_connection_test.cc
+++ b/Source/UnitTests/Core/Net/server_connection_test.cc
@@ -116,5 +116,18 @@
   CHECK(pair.requests == 1);
 }
 
+TEST_CASE("no request is taken behind the last response of a connection") {
+  Pair pair(IdleAfter(Millis(5000)));
+  pair.body_bytes = kLargeBody;
+  pair.keeps_alive = false;
+  pair.caller->Write(kRequest + kRequest);
+  REQUIRE(pair.loop.RunUntil([&] { return pair.requests == 1; }, Millis(500)));
+  pair.caller->Write(kRequest);
+  pair.Pass(Millis(100));
+  CHECK(pair.requests == 1);
+  CHECK(pair.loop.RunUntil([&] { return !pair.Read(); }, Millis(3000)));
+  CHECK(pair.received > kLargeBody);
+}
+
 }  // namespace
 }  // namespace basilvalve::net
