LOST: a drain lasts until the answers are written

Cause: CheckDrained ended the process once no call was in flight, although a connection's write buffer could still hold the end of an answer; the hop from the owner of an upstream has such a buffer, too.

--- a/Source/Core/Edge/accepted_connections.cc
+++ b/Source/Core/Edge/accepted_connections.cc
@@ -89,8 +89,10 @@
 
 bool AcceptedConnections::HasUnfinishedWork() const {
   return std::any_of(
-      connections_.begin(), connections_.end(),
-      [](const auto& entry) { return entry.second.connection->busy(); });
+      connections_.begin(), connections_.end(), [](const auto& entry) {
+        const net::ServerConnection& it = *entry.second.connection;
+        return it.busy() || it.lost_bytes().unwritten > 0;
+      });
 }
 
 size_t AcceptedConnections::UnwrittenBytes() const {
--- a/Source/Core/Edge/accepted_connections.h
+++ b/Source/Core/Edge/accepted_connections.h
@@ -34,8 +34,8 @@
   void AnnounceClose();
   /// Closes the idle connections. Pre: AnnounceClose. Not thread safe.
   void CloseIdle();
-  /// Whether a part of a request has arrived whose response is not complete.
-  /// Not thread safe.
+  /// Whether a part of a request has arrived whose response is not complete,
+  /// or a response is not written. Not thread safe.
   bool HasUnfinishedWork() const;
   /// Bytes of responses that are not written yet. Not thread safe.
   size_t UnwrittenBytes() const;
