LOST: a silent upstream is given up only for another one

What callers saw: a stream broke off in the middle though its upstream was sound, with call_retried reason=upstream_silent and then outcome=broken in the log (the third walk of docs/OPERATIONS.md); a plain call got 502. Cause: after 0.65 s without a byte Exchange closed the attempt first and then asked whether there was a retry in the budget and a place for the call. Where there was none, or the next upstream refused, the call was lost. Change: attempts, time, place and budget are decided first, and the attempt is closed for a send that is sure; otherwise it goes on, and the question is asked again. A stream that has started waits 2 s, since a sound upstream may pause for a second and such a stream is late from 0.6 s on in any case. An attempt's silence counts once as a failure. Conclusion: the class is an answer given up on a guess before anything else has taken the call. The owner of an upstream still hands a silent call back to the instance that sent it, which may find its budget used up.

--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -13,6 +13,9 @@
 // For streams: shorter than an interval between events that callers notice,
 // longer than a long engine step.
 constexpr Millis kStreamSilenceTimeout{650};
+// A sound upstream may pause for a second. A stream that has started is late by
+// then, so that an early resumption gains nothing for its caller.
+constexpr Millis kStartedStreamSilenceTimeout{2000};
 // For plain calls: this share of the response-time objective, but no less than
 // a busy upstream needs.
 constexpr double kPlainSilenceTargetShare = 0.6;
@@ -75,9 +78,9 @@
                     kLowestUrgency);
 }
 
-Millis SilenceTimeout(const flow::Route& route) {
+Millis SilenceTimeout(const flow::Route& route, bool has_started) {
   if (route.kind == flow::CallKind::kStream) {
-    return kStreamSilenceTimeout;
+    return has_started ? kStartedStreamSilenceTimeout : kStreamSilenceTimeout;
   }
   return std::max(
       kMinPlainSilenceTimeout,
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -61,8 +61,8 @@
 int UrgencyOf(const flow::Route& route);
 
 /// How long an upstream may send nothing before a call of the route is retried
-/// elsewhere. Thread safe.
-Millis SilenceTimeout(const flow::Route& route);
+/// elsewhere, and a stream that has started is resumed. Thread safe.
+Millis SilenceTimeout(const flow::Route& route, bool has_started);
 
 /// Gathers the input of flow::DecideDispatch, takes its decision and records in
 /// the registry whether a new call was rejected. Not thread safe.
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -81,7 +81,10 @@
     OnDeadline();
     return;
   }
-  CallPlan plan = Plan();
+  Execute(Plan());
+}
+
+void Exchange::Execute(const CallPlan& plan) {
   const flow::DispatchDecision& decision = plan.decision;
   switch (decision.kind) {
     case flow::DispatchKind::kLocal:
@@ -214,7 +217,7 @@
   ++progress_.sends;
   ++possible_runs_;
   attempt_.connection->Send(std::move(bytes), this);
-  ArmSilenceTimer();
+  ArmSilenceTimer(SilenceLimit());
 }
 
 bool Exchange::OnHead(const net::MessageHead& head) {
@@ -496,16 +499,26 @@
                    : "connection_lost");
 }
 
-bool Exchange::TryRetry(std::string_view reason) {
+bool Exchange::MayRetry() const {
+  return possible_runs_ < context_.route->max_attempts &&
+         TimeLeft() > kMinRetryTime;
+}
+
+bool Exchange::ConsumeRetry(std::string_view reason) {
   Instant now = components_->loop->Now();
-  if (possible_runs_ >= context_.route->max_attempts ||
-      TimeLeft() <= kMinRetryTime ||
-      !components_->retry_budget->TryConsume(
+  if (!components_->retry_budget->TryConsume(
           context_.service, components_->fleet->LiveCount(now), now)) {
     return false;
   }
   components_->metrics->CountRetry(reason);
   LogRetry(params_, reason, attempt_.endpoint, TimeLeft());
+  return true;
+}
+
+bool Exchange::TryRetry(std::string_view reason) {
+  if (!MayRetry() || !ConsumeRetry(reason)) {
+    return false;
+  }
   Dispatch();
   return true;
 }
@@ -595,16 +608,21 @@
               may_have_run ? Millis(0) : kNotRunRetryAfter, "time_limit");
 }
 
-void Exchange::ArmSilenceTimer() {
+void Exchange::ArmSilenceTimer(Micros delay) {
   if (!IsRetryable()) {
     return;
   }
-  silence_timer_.Set(SilenceTimeout(*context_.route),
-                     [weak = weak_from_this()] {
-                       if (auto self = weak.lock()) {
-                         self->OnSilenceTimeout();
-                       }
-                     });
+  silence_timer_.Set(delay, [weak = weak_from_this()] {
+    if (auto self = weak.lock()) {
+      self->OnSilenceTimeout();
+    }
+  });
+}
+
+Instant Exchange::LastActivity() const {
+  Instant received =
+      IsStream() ? attempt_.upstream->last_received_at : attempt_.last_event_at;
+  return std::max(received, attempt_.sent_at);
 }
 
 void Exchange::OnSilenceTimeout() {
@@ -612,29 +630,34 @@
     return;
   }
   Instant now = components_->loop->Now();
-  Instant last_activity =
-      IsStream()
-          ? std::max(attempt_.upstream->last_received_at, attempt_.sent_at)
-          : attempt_.last_event_at;
-  if (IsStream() && now - last_activity < SilenceTimeout(*context_.route)) {
-    ArmSilenceTimer();
+  Micros silence = now - LastActivity();
+  bool is_silent = silence >= SilenceLimit();
+  ArmSilenceTimer(is_silent ? SilenceLimit() : SilenceLimit() - silence);
+  if (!is_silent) {
     return;
   }
-  if (possible_runs_ >= context_.route->max_attempts &&
-      !context_.can_sender_retry) {
-    return;
+  if (!std::exchange(attempt_.is_silence_recorded, true)) {
+    attempt_.upstream->breaker.OnFailure(now);
+    attempt_.RecordResult(/*has_failed=*/true, now);
   }
   progress_.tried_upstreams.insert(attempt_.upstream->record.id);
-  attempt_.upstream->breaker.OnFailure(now);
-  attempt_.RecordResult(/*has_failed=*/true, components_->loop->Now());
-  if (!context_.can_sender_retry &&
-      Plan().decision.kind == flow::DispatchKind::kRefuse) {
+  if (context_.can_sender_retry) {
+    CancelAttempt();
+    SendFailure(502, {}, "upstream_silent");
     return;
   }
-  CancelAttempt();
-  if (!TryRetry("upstream_silent")) {
-    SendFailure(502, {}, "upstream_silent");
+  // A silent upstream may still answer, so it is given up only for another
+  // one that the call is sure to be sent to.
+  if (!MayRetry()) {
+    return;
   }
+  CallPlan plan = Plan();
+  if (plan.decision.kind == flow::DispatchKind::kRefuse ||
+      !ConsumeRetry("upstream_silent")) {
+    return;
+  }
+  CancelAttempt();
+  Execute(plan);
 }
 
 void Exchange::OnCallerDisconnected() {
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -42,6 +42,8 @@
  private:
   void Dispatch();
   CallPlan Plan();
+  /// Sends the call where the plan says, or refuses it.
+  void Execute(const CallPlan& plan);
   void SendToUpstream(const flow::Placement& placement);
   void SendToOwner(const flow::InstanceRecord& owner,
                    const flow::Placement& placement);
@@ -68,12 +70,21 @@
   void ForwardResponse();
   void OnNotRun(std::string_view reason);
   void OnMayHaveRun(std::string_view reason);
+  /// Whether the route's attempts and the time left allow one more.
+  bool MayRetry() const;
+  /// Takes one retry from the fleet's budget; false if it is used up.
+  bool ConsumeRetry(std::string_view reason);
   bool TryRetry(std::string_view reason);
   void SendFailure(int status, Millis retry_after, std::string_view reason);
   void ArmDeadlineTimer();
   void OnDeadline();
   void OnSilenceTimeout();
-  void ArmSilenceTimer();
+  void ArmSilenceTimer(Micros delay);
+  Micros SilenceLimit() const {
+    return SilenceTimeout(*context_.route, stream_started_);
+  }
+  /// When the upstream last showed that it is alive.
+  Instant LastActivity() const;
   void OnCallerDisconnected();
   void CancelAttempt();
   void Finish(std::string_view outcome, int status, std::string_view reason);
--- a/Source/UnitTests/Core/Edge/edge_fixture.cc
+++ b/Source/UnitTests/Core/Edge/edge_fixture.cc
@@ -109,7 +109,8 @@
   });
 }
 
-EdgeFixture::EdgeFixture(const std::string& region, net::TimeSource time)
+EdgeFixture::EdgeFixture(const std::string& region, net::TimeSource time,
+                         const flow::FleetRetryBudgetSettings& retries)
     : loop(time) {
   EdgeSettings settings;
   settings.self.id = InstanceId("instance");
@@ -117,7 +118,7 @@
   settings.self.region = RegionId(region);
   settings.public_address = {"127.0.0.1", 0};
   settings.peer_address = {"127.0.0.1", 0};
-  settings.retries = {0.2, 50, Seconds(10)};
+  settings.retries = retries;
   settings.stop_grace = Millis(4000);
   settings.seed = 1;
   auto created = EdgeNode::Create(&loop, settings, &dialect);
--- a/Source/UnitTests/Core/Edge/edge_fixture.h
+++ b/Source/UnitTests/Core/Edge/edge_fixture.h
@@ -64,7 +64,9 @@
 class EdgeFixture {
  public:
   explicit EdgeFixture(const std::string& region = "north",
-                       net::TimeSource time = net::TimeSource::kSystem);
+                       net::TimeSource time = net::TimeSource::kSystem,
+                       const flow::FleetRetryBudgetSettings& retries = {
+                           0.2, 50, Seconds(10)});
 
   ScriptedUpstream& AddUpstream(const std::string& id,
                                 ScriptedUpstream::Script script);
