LOST: a pause of our own is not the upstream's silence

What callers saw: a caller that reads slowly lost its stream, or had it moved to another upstream. Cause: while the caller's write buffer is full, nothing is read from the upstream, and the timer took that for silence; after a pause of the process, too. Change: silence counts from when the connection was last listened to; a timer that fires late asks again. Evidence: the test failed before (the upstream's connection was closed). Conclusion: the pause of the process has no test of its own.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -25,6 +25,8 @@
   Instant sent_at;
   /// Time of the last event, or of the send if there was none.
   Instant last_event_at;
+  /// When this instance last began to read from the connection.
+  Instant listening_since;
   /// The upstream's silence was counted as a failure.
   bool is_silence_recorded = false;
   flow::Forecast forecast;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -19,6 +19,9 @@
 // Retry-After for calls that were not executed for a reason other than load;
 // they can be retried soon.
 constexpr Millis kNotRunRetryAfter{200};
+// A timer this late shows that this process did not run, and so could not
+// have received anything.
+constexpr Millis kLateTimer{200};
 // Less than a round trip within the region: a retry could not finish.
 constexpr Millis kMinRetryTime{20};
 // Instances of the region that are asked one after the other before the call is
@@ -211,6 +214,7 @@
   attempt_.is_active = true;
   attempt_.sent_at = components_->loop->Now();
   attempt_.last_event_at = attempt_.sent_at;
+  attempt_.listening_since = attempt_.sent_at;
   attempt_.connection = std::move(connection);
   // However the last attempt ended, this one starts at an event boundary.
   splitter_.DropPartial();
@@ -345,6 +349,7 @@
   caller_->SetWritableHandler([weak = weak_from_this()] {
     auto self = weak.lock();
     if (self && self->attempt_.connection) {
+      self->attempt_.listening_since = self->components_->loop->Now();
       self->attempt_.connection->Resume();
     }
   });
@@ -612,6 +617,7 @@
   if (!IsRetryable()) {
     return;
   }
+  silence_due_ = components_->loop->Now() + delay;
   silence_timer_.Set(delay, [weak = weak_from_this()] {
     if (auto self = weak.lock()) {
       self->OnSilenceTimeout();
@@ -622,7 +628,7 @@
 Instant Exchange::LastActivity() const {
   Instant received =
       IsStream() ? attempt_.upstream->last_received_at : attempt_.last_event_at;
-  return std::max(received, attempt_.sent_at);
+  return std::max(received, attempt_.listening_since);
 }
 
 void Exchange::OnSilenceTimeout() {
@@ -630,10 +636,11 @@
     return;
   }
   Instant now = components_->loop->Now();
+  bool is_own_stall = now - silence_due_ > kLateTimer;
   Micros silence = now - LastActivity();
   bool is_silent = silence >= SilenceLimit();
   ArmSilenceTimer(is_silent ? SilenceLimit() : SilenceLimit() - silence);
-  if (!is_silent) {
+  if (!is_silent || is_own_stall || caller_->is_write_buffer_full()) {
     return;
   }
   if (!std::exchange(attempt_.is_silence_recorded, true)) {
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -83,7 +83,8 @@
   Micros SilenceLimit() const {
     return SilenceTimeout(*context_.route, stream_started_);
   }
-  /// When the upstream last showed that it is alive.
+  /// When the upstream last showed that it is alive, or this instance began to
+  /// listen to it.
   Instant LastActivity() const;
   void OnCallerDisconnected();
   void CancelAttempt();
@@ -127,6 +128,8 @@
   /// Attempts that an upstream may have executed.
   int possible_runs_ = 0;
   int failed_connects_ = 0;
+  /// When the silence timer is due.
+  Instant silence_due_;
   bool stream_started_ = false;
   uint64_t stream_bytes_ = 0;
   bool is_finished_ = false;
--- a/Source/UnitTests/Core/Edge/silence_test.cc
+++ b/Source/UnitTests/Core/Edge/silence_test.cc
@@ -116,5 +116,42 @@
   CHECK(fixture.loop.Now() - silent_since < Millis(2500));
 }
 
+// Guards against LOST: the pause of a caller that reads slowly is taken for
+// one of the upstream.
+TEST_CASE("a caller that reads slowly does not make its upstream silent") {
+  EdgeFixture fixture("north", net::TimeSource::kVirtual);
+  fixture.ApplyDesiredState(1, Millis(4000));
+  const std::string large(size_t{100} * 1024, 'x');
+  const int events = 200;
+  fixture.AddUpstream("u1", [&](const Caller& caller, const Request& request) {
+    caller->Write(Upstream::StreamHead(request));
+    for (int id = 1; id <= events; ++id) {
+      caller->Write(Upstream::Chunk("id: " + std::to_string(id) + "\ndata: " +
+                                    large + "\n\n"));
+    }
+    caller->Write("0\r\n\r\n");
+    caller->EndResponse(true);
+  });
+  auto slow = net::Socket::Connect(
+      &fixture.loop, fixture.node->public_endpoint(), Millis(2000),
+      [](bool) {});
+  fixture.RunUntil([&] { return fixture.node->IsReady(); });
+  fixture.loop.RunUntil([] { return false; }, Millis(10));
+  slow->Write(EdgeFixture::Request("/stream/", "r1", "", "Patience: 9000\r\n"));
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.upstreams[0]->requests().size() == 1; }));
+  Upstream& other = fixture.AddUpstream("u2", Refuse);
+  fixture.loop.RunUntil([] { return false; }, Millis(3500));
+  CHECK(fixture.upstreams[0]->disconnects() == 0);
+  std::string text;
+  std::vector<char> buf(size_t{1024} * 1024);
+  CHECK(fixture.RunUntil([&] {
+    net::IoResult got = slow->Read(buf);
+    text.append(buf.data(), got.bytes);
+    return text.ends_with("0\r\n\r\n");
+  }));
+  CHECK(other.requests().empty());
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
