LOST: a draining instance takes no call that may outlast its drain

What callers saw: a stream taken just after the third second of a stop was cut by the end of the grace period. Cause: calls were taken until 3 s after the signal was handled, which a busy machine does late, so that one sent more than 3 s after the signal ran on and was cut; a call from another instance was taken at any time. Change: from 2.5 s on, a call is taken only if its longest duration fits into what is left of the grace period; a short one is taken later than before. A call from a peer instance is refused as not run and unsent.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -5,6 +5,7 @@
 #include "Core/Common/hash.h"
 #include "Core/Common/log.h"
 #include "Core/Edge/heartbeat_codec.h"
+#include "Core/Edge/message_serializer.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -34,9 +35,12 @@
 // have learned of it from the instance directory, whose responses expire within
 // 2 s.
 constexpr Millis kCloseIdleAfter{2500};
-// Calls that arrive later might not finish within the grace period; they are
-// rejected so that callers retry at another instance.
-constexpr Millis kRejectCallsAfter{3000};
+// Calls that arrive later and may outlast the grace period are rejected, so
+// that callers retry at another instance. The signal to stop may be handled
+// late on a busy machine.
+constexpr Millis kRejectLongCallsAfter{2500};
+// Callers that have not heard of the drain still get answers this long.
+constexpr Millis kMinDrainTime{3000};
 constexpr Millis kDrainCheckInterval{50};
 constexpr Millis kExitMargin{250};
 constexpr Millis kStartupRetryAfter{300};
@@ -192,10 +196,6 @@
     RejectRequest(caller, request, 503, "no desired state received yet");
     return;
   }
-  if (is_draining_ && loop_->Now() - drain_started_at_ > kRejectCallsAfter) {
-    RejectRequest(caller, request, 503, "draining");
-    return;
-  }
   std::string_view path = request.head.target;
   path = path.substr(0, path.find('?'));
   auto route = state_->Match(params->host, path);
@@ -209,6 +209,13 @@
     context.traits = *traits;
   }
   context.time_left = params->caller_timeout.value_or(route->timeout);
+  Millis longest = route->kind == flow::CallKind::kStream
+                       ? context.time_left
+                       : std::min(context.time_left, route->timeout);
+  if (!AcceptsCall(longest)) {
+    RejectRequest(caller, request, 503, "draining");
+    return;
+  }
   context.target_left = route->target;
   context.state_version = state_->version();
   context.route = std::move(route);
@@ -216,6 +223,15 @@
                 std::move(context));
 }
 
+bool EdgeNode::AcceptsCall(Millis longest) const {
+  if (!is_draining_) {
+    return true;
+  }
+  Micros elapsed = loop_->Now() - drain_started_at_;
+  return elapsed <= kRejectLongCallsAfter ||
+         elapsed + longest <= settings_.stop_grace - kExitMargin;
+}
+
 void EdgeNode::OnPeerCall(const net::ServerConnection::Ptr& caller,
                           net::ServerRequest request) {
   const std::string* header = request.head.Find(kHopHeader);
@@ -225,6 +241,16 @@
     RejectRequest(caller, request, 400, "malformed call from a peer instance");
     return;
   }
+  if (!AcceptsCall(hop->time_left)) {
+    LogEvent(LogLevel::kInfo, "edge", "call_refused")
+        .With("request", params->id.value())
+        .With("status", 503)
+        .With("reason", "draining");
+    caller->Write(SerializeFailure(503, Millis(0), Outcome::kNotRun,
+                                   /*is_unsent=*/true, /*keep_alive=*/false));
+    caller->EndResponse(/*keep_alive=*/false);
+    return;
+  }
   auto route = std::make_shared<flow::Route>();
   route->name = "forwarded";
   route->kind = hop->kind;
@@ -642,7 +668,7 @@
     connections_.CloseIdle();
   }
   bool is_over = elapsed >= settings_.stop_grace - kExitMargin ||
-                 (elapsed >= kRejectCallsAfter && exchanges_.empty() &&
+                 (elapsed >= kMinDrainTime && exchanges_.empty() &&
                   !connections_.HasUnfinishedWork());
   if (is_over) {
     LogEvent(LogLevel::kInfo, "edge", "drain_ended")
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -99,6 +99,9 @@
            const CallDialect* dialect);
   std::optional<Error> Open();
   net::ServerLimits CallerLimits() const;
+  /// Whether a call that takes up to `longest` may start now: while draining,
+  /// only if it ends within the grace period or callers cannot know yet.
+  bool AcceptsCall(Millis longest) const;
   void OnCall(const net::ServerConnection::Ptr& caller,
               net::ServerRequest request);
   void OnPeerCall(const net::ServerConnection::Ptr& caller,
