LOST: the end of a drain answers the calls that still wait

What callers saw: a call that was read and still waited at the end of the grace period (for an upstream, a connection, a retry) ended with a closed connection, and so did one that another instance had forwarded. Cause: CheckDrained ended the process with calls in flight and answered none, not even those that no upstream had been sent. Change: 100 ms before the drain's limit the calls in flight are ended: 503 if none was sent, else 504; a started stream is broken off as before. The limit itself does not move, and AcceptsCall counts the 100 ms as used. A plain call that runs to the end of the grace period now has a complete answer in any case.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -43,6 +43,8 @@
 constexpr Millis kMinDrainTime{3000};
 constexpr Millis kDrainCheckInterval{50};
 constexpr Millis kExitMargin{250};
+// Time to write the failures of the calls that the end of a drain cuts.
+constexpr Millis kLastWritesTime{100};
 constexpr Millis kStartupRetryAfter{300};
 
 }  // namespace
@@ -229,7 +231,8 @@
   }
   Micros elapsed = loop_->Now() - drain_started_at_;
   return elapsed <= kRejectLongCallsAfter ||
-         elapsed + longest <= settings_.stop_grace - kExitMargin;
+         elapsed + longest <=
+             settings_.stop_grace - kExitMargin - kLastWritesTime;
 }
 
 void EdgeNode::OnPeerCall(const net::ServerConnection::Ptr& caller,
@@ -661,18 +664,34 @@
   CheckDrained();
 }
 
+void EdgeNode::EndCalls() {
+  // A call that ends removes itself.
+  std::vector<std::shared_ptr<Exchange>> calls;
+  for (const auto& [raw, exchange] : exchanges_) {
+    calls.push_back(exchange);
+  }
+  calls_aborted_ += calls.size();
+  for (const auto& it : calls) {
+    it->EndForShutdown();
+  }
+}
+
 void EdgeNode::CheckDrained() {
   Micros elapsed = loop_->Now() - drain_started_at_;
   if (elapsed >= kCloseIdleAfter && !idle_connections_closed_) {
     idle_connections_closed_ = true;
     connections_.CloseIdle();
   }
-  bool is_over = elapsed >= settings_.stop_grace - kExitMargin ||
-                 (elapsed >= kMinDrainTime && exchanges_.empty() &&
-                  !connections_.HasUnfinishedWork());
+  Micros limit = settings_.stop_grace - kExitMargin;
+  if (elapsed >= limit - kLastWritesTime) {
+    EndCalls();
+  }
+  bool is_over =
+      elapsed >= limit || (elapsed >= kMinDrainTime && exchanges_.empty() &&
+                           !connections_.HasUnfinishedWork());
   if (is_over) {
     LogEvent(LogLevel::kInfo, "edge", "drain_ended")
-        .With("calls_aborted", static_cast<int64_t>(exchanges_.size()))
+        .With("calls_aborted", static_cast<int64_t>(calls_aborted_))
         .With("unwritten_bytes",
               static_cast<int64_t>(connections_.UnwrittenBytes()))
         .With("took_ms", std::chrono::floor<Millis>(elapsed).count());
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -130,6 +130,8 @@
   void LogUnresponsiveInstances();
   void Sweep();
   void CheckDrained();
+  /// Ends the calls in flight; their callers get a failure.
+  void EndCalls();
   static bool AllowsColdUpstream(void* user_data,
                                  const flow::Upstream& upstream);
 
@@ -173,6 +175,7 @@
   Instant last_sweep_at_;
   bool is_draining_ = false;
   bool idle_connections_closed_ = false;
+  size_t calls_aborted_ = 0;
   Instant drain_started_at_;
   std::function<void()> on_drained_;
 };
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -607,10 +607,23 @@
   if (attempt_.is_active && attempt_.upstream && !attempt_.has_first_byte) {
     attempt_.upstream->breaker.OnFailure(components_->loop->Now());
   }
+  GiveUp("time_limit");
+}
+
+void Exchange::GiveUp(std::string_view reason) {
   bool may_have_run = possible_runs_ > 0;
   CancelAttempt();
   SendFailure(may_have_run ? 504 : 503,
-              may_have_run ? Millis(0) : kNotRunRetryAfter, "time_limit");
+              may_have_run ? Millis(0) : kNotRunRetryAfter, reason);
+}
+
+void Exchange::EndForShutdown() {
+  if (!is_finished_) {
+    GiveUp("instance_stops");
+  } else if (attempt_.is_active) {
+    CancelAttempt();
+    on_ended_(this);
+  }
 }
 
 void Exchange::ArmSilenceTimer(Micros delay) {
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -29,6 +29,9 @@
 
   /// Starts the call. Pre: not called before. Not thread safe.
   void Start();
+  /// Ends the call because the process is about to exit: its caller gets a
+  /// failure if no response has started. Not thread safe.
+  void EndForShutdown();
   /// Whether the current attempt is on this upstream. Not thread safe.
   bool IsWaitingFor(const flow::Upstream& upstream) const {
     return attempt_.upstream.get() == &upstream;
@@ -41,6 +44,8 @@
 
  private:
   void Dispatch();
+  /// Ends the call with a failure that tells whether it may have run.
+  void GiveUp(std::string_view reason);
   CallPlan Plan();
   /// Sends the call where the plan says, or refuses it.
   void Execute(const CallPlan& plan);
--- /dev/null
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -0,0 +1,54 @@
+// Calls that end although something is still under way for them.
+#include <catch2/catch.hpp>
+
+#include "Core/Edge/hop_header.h"
+#include "UnitTests/Core/Edge/edge_fixture.h"
+
+namespace basilvalve::edge {
+namespace {
+
+using Upstream = ScriptedUpstream;
+using Caller = net::ServerConnection::Ptr;
+using Request = net::ServerRequest;
+
+bool Contains(const RawCaller& caller, const std::string& part) {
+  return caller.text().find(part) != std::string::npos;
+}
+
+// Guards against LOST: a drain closes connections that wait for a response.
+TEST_CASE("the end of a drain answers the calls that still wait") {
+  for (bool is_peer : {false, true}) {
+    INFO((is_peer ? "from a peer" : "from a caller"));
+    EdgeFixture fixture("north", net::TimeSource::kVirtual);
+    fixture.ApplyDesiredState(1, Millis(12000));
+    fixture.AddUpstream("u1", [](const Caller&, const Request&) {});
+    HopParams hop;
+    hop.service = ServiceName("service");
+    hop.time_left = hop.response_time_left = Millis(12000);
+    RawCaller caller(&fixture.loop, is_peer ? fixture.node->peer_endpoint()
+                                            : fixture.node->public_endpoint());
+    caller.Send(EdgeFixture::Request(
+        "/once/", "r1", "",
+        is_peer ? std::string(kHopHeader) + ": " + FormatHopHeader(hop) + "\r\n"
+                : "Patience: 12000\r\n"));
+    REQUIRE(fixture.RunUntil(
+        [&] { return fixture.upstreams[0]->requests().size() == 1; }));
+    Instant began_at = fixture.loop.Now();
+    bool is_ended = false;
+    fixture.node->BeginDrain([&] {
+      // The process ends, and with it what it has not written.
+      fixture.loop.Post([&] {
+        fixture.node.reset();
+        is_ended = true;
+      });
+    });
+    REQUIRE(fixture.RunUntil([&] { return is_ended; }));
+    // The fixture has to stop within 4 s.
+    CHECK(fixture.loop.Now() - began_at <= Millis(3750));
+    CHECK(fixture.RunUntil([&] { return caller.closed(); }));
+    CHECK(Contains(caller, "HTTP/1.1 504"));
+  }
+}
+
+}  // namespace
+}  // namespace basilvalve::edge
