LOST: a forwarded stream may use all of its caller's time

What callers saw: a stream that ran through another region ended 60 ms before its caller's limit without its last events (5 ms through an owner), and took one more retry from the budget for the 40 ms that were left. Cause: SendToPeer takes a margin off the time left, so that a rejection by the far instance arrives in time. The far instance ended a started stream at that time, too; this instance saw a broken connection before its own limit. Change: the margin is taken off the time until the response starts, and off the whole time of plain calls only. For a started stream the instance that the caller contacted keeps the limit.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -192,7 +192,10 @@
   hop.kind = route.kind;
   hop.is_resumable = route.is_resumable;
   hop.priority = route.priority;
-  hop.time_left = std::max(Millis(1), TimeLeft() - margin);
+  // Once a stream has started, no rejection can follow, so that the margin
+  // would only cut its end.
+  hop.time_left =
+      std::max(Millis(1), IsStream() ? TimeLeft() : TimeLeft() - margin);
   hop.response_time_left =
       std::chrono::floor<Millis>(response_deadline_ - now) - margin;
   hop.target_left = std::chrono::floor<Millis>(target_deadline_ - now);
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -15,6 +15,10 @@
   return caller.text().find(part) != std::string::npos;
 }
 
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
 // Guards against LOST: a drain closes connections that wait for a response.
 TEST_CASE("the end of a drain answers the calls that still wait") {
   for (bool is_peer : {false, true}) {
@@ -50,5 +54,45 @@
   }
 }
 
+// Guards against LOST: a forwarded stream ends before its caller's time is up.
+TEST_CASE("a forwarded stream may use all of its caller's time") {
+  EdgeFixture local("south", net::TimeSource::kVirtual);
+  local.ApplyDesiredState(1, Millis(1500));
+  net::Timer timer(&local.loop);
+  Upstream upstream(&local.loop, "u1",
+                    [&](const Caller& caller, const Request& request) {
+                      caller->Write(Upstream::StreamHead(request) +
+                                    Upstream::Chunk(Event(1)));
+                      timer.Set(Millis(2975), [caller] {
+                        caller->Write(Upstream::Chunk(Event(2)) + "0\r\n\r\n");
+                        caller->EndResponse(true);
+                      });
+                    });
+  EdgeSettings settings;
+  settings.self.id = InstanceId("far");
+  settings.self.data_centre = flow::DataCentreId("zone");
+  settings.self.region = RegionId("north");
+  settings.public_address = settings.peer_address = {"127.0.0.1", 0};
+  settings.retries = {0.2, 50, Seconds(10)};
+  auto far = EdgeNode::Create(&local.loop, settings, &local.dialect);
+  REQUIRE(far);
+  (*far)->registry().Upsert(upstream.Record(ServiceName("service")),
+                            local.loop.Now());
+  flow::Heartbeat heartbeat;
+  heartbeat.from = settings.self;
+  heartbeat.from.peer_address = (*far)->peer_endpoint().Text();
+  heartbeat.from.incarnation = 1;
+  heartbeat.sequence = 1;
+  heartbeat.service_capacities[ServiceName("service")] = {1, Micros(0), 50, 0,
+                                                          0};
+  local.node->fleet().OnHeartbeat(heartbeat, local.loop.Now());
+  auto caller = local.Call(
+      EdgeFixture::Request("/single/", "r1", "", "Patience: 3000\r\n"));
+  CHECK(local.RunUntil(
+      [&] { return caller->closed() || Contains(*caller, "0\r\n\r\n"); }));
+  CHECK(Contains(*caller, Event(2)));
+  CHECK(Contains(*caller, "0\r\n\r\n"));
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
