--- a/Source/UnitTests/Core/Edge/edge_fixture.cc
+++ b/Source/UnitTests/Core/Edge/edge_fixture.cc
@@ -161,6 +161,26 @@
          "\r\n" + body;
 }
 
+std::unique_ptr<EdgeNode> EdgeFixture::AddPeerInstance(
+    const std::string& id, const std::string& region) {
+  EdgeSettings settings;
+  settings.self.id = InstanceId(id);
+  settings.self.data_centre = flow::DataCentreId("zone");
+  settings.self.region = RegionId(region);
+  settings.public_address = settings.peer_address = {"127.0.0.1", 0};
+  settings.retries = {0.2, 50, Seconds(10)};
+  auto peer = EdgeNode::Create(&loop, settings, &dialect);
+  REQUIRE(peer);
+  flow::Heartbeat heartbeat;
+  heartbeat.from = settings.self;
+  heartbeat.from.peer_address = (*peer)->peer_endpoint().Text();
+  heartbeat.from.incarnation = 1;
+  heartbeat.sequence = 1;
+  heartbeat.service_capacities[kService] = {1, Micros(0), 50, 0, 0};
+  node->fleet().OnHeartbeat(heartbeat, loop.Now());
+  return std::move(*peer);
+}
+
 bool EdgeFixture::RunUntil(const std::function<bool()>& done) {
   return loop.RunUntil(done, kWaitTimeout);
 }
--- a/Source/UnitTests/Core/Edge/edge_fixture.h
+++ b/Source/UnitTests/Core/Edge/edge_fixture.h
@@ -76,6 +76,10 @@
                              const std::string& body = "",
                              const std::string& extra = "");
   bool RunUntil(const std::function<bool()>& done);
+  /// Adds an instance of another region on the same loop, to which this one
+  /// forwards calls.
+  std::unique_ptr<EdgeNode> AddPeerInstance(const std::string& id,
+                                            const std::string& region);
 
   net::EventLoop loop;
   FakeDialect dialect;
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -68,24 +68,9 @@
                         caller->EndResponse(true);
                       });
                     });
-  EdgeSettings settings;
-  settings.self.id = InstanceId("far");
-  settings.self.data_centre = flow::DataCentreId("zone");
-  settings.self.region = RegionId("north");
-  settings.public_address = settings.peer_address = {"127.0.0.1", 0};
-  settings.retries = {0.2, 50, Seconds(10)};
-  auto far = EdgeNode::Create(&local.loop, settings, &local.dialect);
-  REQUIRE(far);
-  (*far)->registry().Upsert(upstream.Record(ServiceName("service")),
-                            local.loop.Now());
-  flow::Heartbeat heartbeat;
-  heartbeat.from = settings.self;
-  heartbeat.from.peer_address = (*far)->peer_endpoint().Text();
-  heartbeat.from.incarnation = 1;
-  heartbeat.sequence = 1;
-  heartbeat.service_capacities[ServiceName("service")] = {1, Micros(0), 50, 0,
-                                                          0};
-  local.node->fleet().OnHeartbeat(heartbeat, local.loop.Now());
+  auto far = local.AddPeerInstance("far", "north");
+  far->registry().Upsert(upstream.Record(ServiceName("service")),
+                         local.loop.Now());
   auto caller = local.Call(
       EdgeFixture::Request("/single/", "r1", "", "Patience: 3000\r\n"));
   CHECK(local.RunUntil(
--- a/Source/UnitTests/Core/Edge/silence_test.cc
+++ b/Source/UnitTests/Core/Edge/silence_test.cc
@@ -47,7 +47,8 @@
 
 // Guards against LOST: a sound upstream that pauses is given up although the
 // call can be sent nowhere else.
-TEST_CASE("a silent upstream is not given up while the call has no other place") {
+TEST_CASE(
+    "a silent upstream is not given up while the call has no other place") {
   struct Row {
     const char* name;
     const char* path;
@@ -126,15 +127,15 @@
   fixture.AddUpstream("u1", [&](const Caller& caller, const Request& request) {
     caller->Write(Upstream::StreamHead(request));
     for (int id = 1; id <= events; ++id) {
-      caller->Write(Upstream::Chunk("id: " + std::to_string(id) + "\ndata: " +
-                                    large + "\n\n"));
+      caller->Write(Upstream::Chunk("id: " + std::to_string(id) +
+                                    "\ndata: " + large + "\n\n"));
     }
     caller->Write("0\r\n\r\n");
     caller->EndResponse(true);
   });
-  auto slow = net::Socket::Connect(
-      &fixture.loop, fixture.node->public_endpoint(), Millis(2000),
-      [](bool) {});
+  auto slow =
+      net::Socket::Connect(&fixture.loop, fixture.node->public_endpoint(),
+                           Millis(2000), [](bool) {});
   fixture.RunUntil([&] { return fixture.node->IsReady(); });
   fixture.loop.RunUntil([] { return false; }, Millis(10));
   slow->Write(EdgeFixture::Request("/stream/", "r1", "", "Patience: 9000\r\n"));
