LOST: a plain response that arrives in pieces is not given up

What callers saw: an idempotent call was sent to a second upstream while the first one's response was arriving; where that one failed, the call got 502. Change: each part of the body counts as a sign of life of its attempt. Evidence: the test failed before (the second upstream was sent the call).

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -23,7 +23,8 @@
   net::Endpoint endpoint;
   std::shared_ptr<net::ClientConnection> connection;
   Instant sent_at;
-  /// Time of the last event, or of the send if there was none.
+  /// Time of the last event of a stream or the last bytes of a plain response,
+  /// or of the send if there were none.
   Instant last_event_at;
   /// When this instance last began to read from the connection.
   Instant listening_since;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -307,6 +307,7 @@
     return;
   }
   attempt_.body.append(bytes);
+  attempt_.last_event_at = components_->loop->Now();
 }
 
 void Exchange::AbandonResponse(std::string_view reason) {
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -19,6 +19,11 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
+void RespondOk(const Caller& caller, const Request& request) {
+  caller->Write(Upstream::Response(request, 200, "done"));
+  caller->EndResponse(true);
+}
+
 // Guards against LOST: a drain closes connections that wait for a response.
 TEST_CASE("the end of a drain answers the calls that still wait") {
   for (bool is_peer : {false, true}) {
@@ -94,5 +99,33 @@
   CHECK(Contains(*caller, "0\r\n\r\n"));
 }
 
+// Guards against a response that is given up while its bytes arrive.
+TEST_CASE("a plain response that arrives in pieces is not given up") {
+  EdgeFixture fixture("north", net::TimeSource::kVirtual);
+  fixture.ApplyDesiredState(1, Millis(4000));
+  net::Timer timer(&fixture.loop);
+  std::function<void(const Caller&, int)> send_pieces = [&](const Caller& to,
+                                                            int n) {
+    to->Write("1234");
+    if (n > 1) {
+      timer.Set(Millis(400), [&, to, n] { send_pieces(to, n - 1); });
+    } else {
+      to->EndResponse(true);
+    }
+  };
+  fixture.AddUpstream("u1", [&](const Caller& to, const Request& request) {
+    std::string whole = Upstream::Response(request, 200, std::string(16, 'x'));
+    to->Write(whole.substr(0, whole.size() - 16));
+    send_pieces(to, 4);
+  });
+  auto caller = fixture.Call(EdgeFixture::Request("/again/", "r1"));
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.upstreams[0]->requests().size() == 1; }));
+  Upstream& other = fixture.AddUpstream("u2", RespondOk);
+  CHECK(fixture.RunUntil([&] { return Contains(*caller, "\r\n\r\n"); }));
+  CHECK(Contains(*caller, "1234123412341234"));
+  CHECK(other.requests().empty());
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
