--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -464,14 +464,23 @@
 
 void Exchange::OnError(net::ClientError client_error) {
   auto self = shared_from_this();
-  bool was_sent = client_error != net::ClientError::kConnectFailed ||
-                  attempt_.connection->has_sent();
+  bool was_sent = attempt_.connection->has_sent();
+  // An idle connection that the other side has closed. It shows nothing about
+  // that side, unless it happens again.
+  bool is_stale = !was_sent && failed_connects_ == 0 &&
+                  client_error != net::ClientError::kConnectFailed;
   attempt_.ReleaseLoad();
   attempt_.is_active = false;
   silence_timer_.Cancel();
   attempt_.connection = nullptr;
-  attempt_.RecordResult(/*has_failed=*/true, components_->loop->Now());
-  if (attempt_.upstream) {
+  if (is_stale) {
+    if (attempt_.upstream) {
+      attempt_.upstream->breaker.OnNeutral();
+    }
+    (attempt_.upstream ? components_->upstream_pool : components_->peer_pool)
+        ->CloseIdle(attempt_.endpoint);
+  } else if (attempt_.upstream) {
+    attempt_.RecordResult(/*has_failed=*/true, components_->loop->Now());
     attempt_.upstream->breaker.OnFailure(components_->loop->Now());
     components_->upstream_pool->CloseIdle(attempt_.endpoint);
   } else if (!was_sent) {
@@ -485,6 +494,10 @@
   if (!was_sent) {
     --possible_runs_;
     ++failed_connects_;
+    if (is_stale) {
+      Dispatch();
+      return;
+    }
     if (attempt_.upstream) {
       progress_.tried_upstreams.insert(attempt_.upstream->record.id);
     } else {
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -127,5 +127,26 @@
   CHECK(other.requests().empty());
 }
 
+// Guards against a failure for a call of which no byte was sent.
+TEST_CASE("a call that finds its idle connection closed is sent on another") {
+  EdgeFixture fixture("north", net::TimeSource::kVirtual);
+  fixture.ApplyDesiredState();
+  Caller used;
+  fixture.AddUpstream("u1", [&](const Caller& caller, const Request& request) {
+    used = caller;
+    RespondOk(caller, request);
+  });
+  auto first = fixture.Call(EdgeFixture::Request("/once/", "r1"));
+  auto second = fixture.Call("");
+  REQUIRE(fixture.RunUntil([&] { return Contains(*first, "done"); }));
+  fixture.loop.RunUntil([] { return false; }, Millis(10));
+  // Both arrive at the instance in the same round of its loop.
+  second->Send(EdgeFixture::Request("/once/", "r2"));
+  used->CloseWhenIdle();
+  REQUIRE(fixture.RunUntil([&] { return Contains(*second, "\r\n\r\n"); }));
+  CHECK(Contains(*second, "HTTP/1.1 200"));
+  CHECK(fixture.upstreams[0]->requests().size() == 2);
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
