LOST: the idle time of a connection begins after its response is written

What callers saw: a connection was closed right behind the end of a large response, without "Connection: close", and with it the request that followed. Cause: the idle timer starts when the response is handed over. If the caller takes its last bytes shortly before the timer fires, the connection counts as idle at once. Change: the timer starts again when the write buffer has become empty. Evidence: the test failed before (the second request, 0.7 s after the first response of a connection with an idle limit of 1 s, was not taken).

--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -221,8 +221,13 @@
     on_writable_ = nullptr;
     fn();
   }
-  if (write_buffer_.empty() && close_after_write_ && !half_closed_) {
+  if (!write_buffer_.empty() || half_closed_) {
+    return;
+  }
+  if (close_after_write_) {
     CloseGracefully();
+  } else if (IsIdle()) {
+    StartIdleTimer();
   }
 }
 
--- a/Source/UnitTests/Core/Net/server_connection_test.cc
+++ b/Source/UnitTests/Core/Net/server_connection_test.cc
@@ -129,5 +129,21 @@
   CHECK(pair.received > kLargeBody);
 }
 
+// Guards against LOST: the idle time runs while a response is still read.
+TEST_CASE(
+    "the idle time of a connection begins after its response is written") {
+  Pair pair(IdleAfter(Millis(1000)));
+  pair.body_bytes = kLargeBody;
+  pair.caller->Write(kRequest);
+  REQUIRE(pair.loop.RunUntil([&] { return pair.requests == 1; }, Millis(500)));
+  pair.Pass(Millis(900));
+  REQUIRE(pair.loop.RunUntil(
+      [&] { return !pair.Read() || pair.received > kLargeBody; }, Millis(50)));
+  pair.Pass(Millis(700));
+  pair.caller->Write(kRequest);
+  pair.Pass(Millis(10));
+  CHECK(pair.requests == 2);
+}
+
 }  // namespace
 }  // namespace basilvalve::net
