LOST: an owner keeps a silent stream that cannot be resumed elsewhere

What callers saw: in a region in which owners send to upstreams, a stream that had started broke off after 2 s of silence though its upstream was sound. Cause: the owner hands each silent call back to the instance that sent it, which has to pay the retry from its budget and to find another upstream; where it has neither, it can only break the stream off. With many instances the headroom of each is less than one retry. Change: before it hands a started stream back, the owner asks what it knows of both: its own budget (counted as at any instance) and the region's upstreams. Evidence: the test failed before without another upstream and without budget. Conclusion: an estimate, as the sender's budget may differ from the owner's. To be certain, the sender would have to decide before the owner closes.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -661,6 +661,19 @@
   return std::max(received, attempt_.listening_since);
 }
 
+bool Exchange::MaySenderResume() {
+  Instant now = components_->loop->Now();
+  if (!components_->retry_budget->HasRoom(
+          context_.service, components_->fleet->LiveCount(now), now)) {
+    return false;
+  }
+  progress_.time_to_deadline = progress_.time_to_target = TimeLeft();
+  CallContext sender = context_;
+  sender.is_last_hop = false;
+  return PlanCall(components_, sender, params_, progress_).decision.kind !=
+         flow::DispatchKind::kRefuse;
+}
+
 void Exchange::OnSilenceTimeout() {
   if (is_finished_ || !attempt_.is_active || !attempt_.upstream) {
     return;
@@ -679,6 +692,9 @@
   }
   progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   if (context_.can_sender_retry) {
+    if (stream_started_ && !MaySenderResume()) {
+      return;
+    }
     CancelAttempt();
     SendFailure(502, {}, "upstream_silent");
     return;
--- a/Source/Core/Flow/fleet_retry_budget.cc
+++ b/Source/Core/Flow/fleet_retry_budget.cc
@@ -31,8 +31,8 @@
   ++counts.requests[static_cast<size_t>(counts.slot) % kSlots];
 }
 
-bool FleetRetryBudget::TryConsume(const ServiceName& service, size_t instances,
-                                  Instant now) {
+bool FleetRetryBudget::HasRoom(const ServiceName& service, size_t instances,
+                               Instant now) {
   WindowCounts& counts = AdvanceWindow(service, now);
   double requests = std::accumulate(counts.requests.begin(),
                                     counts.requests.end(), uint32_t{0});
@@ -40,10 +40,16 @@
                                    uint32_t{0});
   double headroom_share =
       settings_.headroom / static_cast<double>(std::max<size_t>(1, instances));
-  if (retries + 1 >
-      kSafetyFactor * (settings_.ratio * requests + headroom_share)) {
+  return retries + 1 <=
+         kSafetyFactor * (settings_.ratio * requests + headroom_share);
+}
+
+bool FleetRetryBudget::TryConsume(const ServiceName& service, size_t instances,
+                                  Instant now) {
+  if (!HasRoom(service, instances, now)) {
     return false;
   }
+  WindowCounts& counts = AdvanceWindow(service, now);
   ++counts.retries[static_cast<size_t>(counts.slot) % kSlots];
   return true;
 }
--- a/Source/Core/Flow/fleet_retry_budget.h
+++ b/Source/Core/Flow/fleet_retry_budget.h
@@ -27,6 +27,9 @@
 
   /// Counts a caller's request for the service.
   void OnRequest(const ServiceName& service, Instant now);
+  /// Whether the budget allows one more retry in a fleet of `instances`
+  /// instances. Counts nothing.
+  bool HasRoom(const ServiceName& service, size_t instances, Instant now);
   /// Returns whether the budget allows one more retry in a fleet of `instances`
   /// instances, and counts the retry if so.
   bool TryConsume(const ServiceName& service, size_t instances, Instant now);
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -133,5 +133,51 @@
   CHECK(fixture.upstreams[0]->requests().size() == 2);
 }
 
+// Guards against LOST: a silent stream is handed back that has no other place.
+TEST_CASE("an owner keeps a silent stream that cannot be resumed elsewhere") {
+  struct Row {
+    const char* name;
+    flow::FleetRetryBudgetSettings retries;
+    bool has_other;
+    bool is_kept;
+  };
+  constexpr flow::FleetRetryBudgetSettings kNoRetries = {0, 0, Seconds(10)};
+  constexpr flow::FleetRetryBudgetSettings kRetries = {0.2, 50, Seconds(10)};
+  for (const Row& row : {Row{"no other", kRetries, false, true},
+                         Row{"no budget", kNoRetries, true, true},
+                         Row{"another", kRetries, true, false}}) {
+    INFO(row.name);
+    EdgeFixture fixture("north", net::TimeSource::kVirtual, row.retries);
+    fixture.ApplyDesiredState(1, Millis(4000));
+    net::Timer timer(&fixture.loop);
+    fixture.AddUpstream("u1", [&](const Caller& to, const Request& request) {
+      to->Write(Upstream::StreamHead(request) + Upstream::Chunk(Event(1)));
+      timer.Set(Millis(2500), [to] {
+        to->Write(Upstream::Chunk(Event(2)) + "0\r\n\r\n");
+        to->EndResponse(true);
+      });
+    });
+    HopParams hop;
+    hop.service = ServiceName("service");
+    hop.kind = flow::CallKind::kStream;
+    hop.is_resumable = true;
+    hop.time_left = hop.response_time_left = Millis(9000);
+    hop.is_last_hop = true;
+    hop.can_sender_retry = true;
+    RawCaller caller(&fixture.loop, fixture.node->peer_endpoint());
+    caller.Send(EdgeFixture::Request(
+        "/stream/", "r1", "",
+        std::string(kHopHeader) + ": " + FormatHopHeader(hop) + "\r\n"));
+    REQUIRE(fixture.RunUntil([&] { return Contains(caller, Event(1)); }));
+    if (row.has_other) {
+      fixture.AddUpstream("u2", RespondOk);
+    }
+    CHECK(fixture.RunUntil(
+        [&] { return caller.closed() || Contains(caller, Event(2)); }));
+    CHECK(caller.closed() == !row.is_kept);
+    CHECK(Contains(caller, Event(2)) == row.is_kept);
+  }
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
