--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -683,7 +683,7 @@
   Micros silence = now - LastActivity();
   bool is_silent = silence >= SilenceLimit();
   ArmSilenceTimer(is_silent ? SilenceLimit() : SilenceLimit() - silence);
-  if (!is_silent || is_own_stall || caller_->is_write_buffer_full()) {
+  if (!is_silent || is_own_stall || attempt_.connection->is_paused()) {
     return;
   }
   if (!std::exchange(attempt_.is_silence_recorded, true)) {
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -59,6 +59,8 @@
   void Pause() { paused_ = true; }
   /// Reads again after Pause. Not thread safe.
   void Resume();
+  /// Whether Pause holds. Not thread safe.
+  bool is_paused() const { return paused_; }
   /// Whether another request may be sent on this connection. Not thread safe.
   bool is_reusable() const { return reusable_ && !closed_; }
   /// Whether no request is in flight. Not thread safe.
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -39,8 +39,6 @@
   timer_.Set(limits_.idle_timeout, [this] {
     if (IsIdle()) {
       CloseIdle();
-    } else if (!busy() && !terminated_ && !half_closed_) {
-      StartIdleTimer();
     }
   });
 }
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -87,7 +87,7 @@
   /// Closes the connection immediately if it is idle, otherwise after the next
   /// response. Not thread safe.
   void CloseWhenIdle();
-  /// Replaces the limits. A request that is being read keeps the limits on its
+  /// Replaces the limits. A body that is being read keeps the limit on its
   /// size; an idle connection may stay open for the whole new idle timeout. Not
   /// thread safe.
   void SetLimits(const ServerLimits& limits);
