MIXED: a trailer is not taken for a header

Cause: the parser appended the fields of a chunked body's trailer to those of the head. Where the whole message arrived at once, the head was read after that, so that a caller's or an upstream's field behind the body passed for a header; where it arrived in pieces, it did not.

Change: fields behind the head are still checked for framing, and dropped.

Evidence: the new test failed without the change for requests and responses (trial on a scratch copy): "Proof" and "Leaving" were found in the head.

Conclusion: what a head says no longer depends on how its bytes are split.

--- a/Source/Core/Net/message.cc
+++ b/Source/Core/Net/message.cc
@@ -104,6 +104,11 @@
       }
       parsed.head.chunked = true;
     }
+    if (parsed.has_head) {
+      // A trailer; whether it came in time to be read with the head would
+      // depend on the network.
+      return;
+    }
     parsed.head.fields.push_back(
         {std::string(ToStd(name_text)), std::string(ToStd(value))});
   }
--- a/Source/UnitTests/Core/Net/message_test.cc
+++ b/Source/UnitTests/Core/Net/message_test.cc
@@ -148,6 +148,31 @@
   }
 }
 
+// Guards against MIXED: fields behind the body pass for headers.
+TEST_CASE("trailers are no headers, however the bytes are split") {
+  const std::string fields =
+      "Transfer-Encoding: chunked\r\nProof: p\r\n\r\n1\r\nx\r\n0\r\n"
+      "Proof: q\r\nLeaving: 1\r\n\r\n";
+  struct Row {
+    MessageParser::Kind kind;
+    std::string bytes;
+  };
+  for (const Row& row :
+       {Row{MessageParser::Kind::kRequest, "POST / HTTP/1.1\r\n" + fields},
+        Row{MessageParser::Kind::kResponse, "HTTP/1.1 200 OK\r\n" + fields}}) {
+    for (size_t step : {size_t{1}, size_t{40}, row.bytes.size()}) {
+      INFO(row.bytes << " in steps of " << step);
+      MessageParser parser(row.kind, kMaxHeaderBytes, kMaxBodyBytes);
+      CHECK(FeedAll(&parser, row.bytes, step).empty());
+      REQUIRE(parser.is_done());
+      CHECK(parser.parse_error() == ParseError::kNone);
+      CHECK(parser.head().Count("Proof") == 1);
+      CHECK(parser.head().Count("Leaving") == 0);
+      CHECK(parser.TakeBody() == "x");
+    }
+  }
+}
+
 TEST_CASE("a response without a length ends with its connection") {
   MessageParser parser(MessageParser::Kind::kResponse, kMaxHeaderBytes,
                        kMaxBodyBytes);
