DRAIN, BUDGET: what an upstream says of itself is known in one place

Cause: only the registration said whether an upstream takes calls. Nothing could hold what it says in its answers, and a registration that was removed and came back, as after an outage of the store, started from nothing.

Change: UpstreamNotice holds the words on one process of an upstream, with source and time. CanSendTo asks it. A word of the upstream or of another instance that it leaves is final for that process, a registration takes back its own word only, a pause lasts to the latest end that was stated. The notice is replaced when the registration shows another start, and found again when a removed one returns within ten minutes. A service whose upstreams all pause gives the earliest end to DecideDispatch for its Retry-After.

Nothing feeds the notices yet but registrations.

--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -154,7 +154,7 @@
   bool is_remote =
       best != nullptr && (!local || remote_cost < *local * kRemoteCostFactor);
   if (!is_remote && !local) {
-    return {DispatchKind::kRefuse, {}, RetryAfter({}, input), {}};
+    return {DispatchKind::kRefuse, {}, RetryAfter(input.pause_left, input), {}};
   }
   const Forecast& chosen = is_remote ? best_forecast : *input.local;
   double admission_share = AdmissionShare(input);
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -37,6 +37,9 @@
   Micros remote_round_trip{0};
   /// Recent share of calls of the same service and rank that were refused.
   double refusal_rate = 0;
+  /// Time until an upstream of the region takes calls again, if all of them
+  /// asked for a pause; else zero.
+  Micros pause_left{0};
   /// Random number in [0, 1) for this call; spreads the retries of callers that
   /// are refused at the same time.
   double retry_jitter = 0;
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -53,6 +53,15 @@
   bool is_accepting = true;
 };
 
+/// A word of an upstream that it is leaving, passed on by an instance.
+struct LeavingReport {
+  UpstreamShortId upstream;
+  /// Start of the process that said so, Unix milliseconds; 0 if unknown.
+  int64_t started_at_ms = 0;
+  /// Time since it was said.
+  Millis age{0};
+};
+
 /// Interval between an instance's heartbeats to `neighbours` others of its
 /// region that all send to upstreams. Thread safe.
 Millis DirectHeartbeatInterval(size_t neighbours);
@@ -82,6 +91,8 @@
   /// Whether the receiver, in another region, passes the heartbeat on within
   /// its region.
   bool is_for_relay = false;
+  /// Upstreams that said they are leaving; sent only within the region.
+  std::vector<LeavingReport> leaving;
 };
 
 /// Capacity of another region, from the most recent heartbeat of its instances.
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -74,7 +74,7 @@
     const std::vector<UpstreamRegistry::Ptr>& candidates, Instant now) {
   std::vector<const Upstream*> available;
   for (const auto& upstream : candidates) {
-    if (!upstream->record.is_draining && !registry.IsEvacuated(*upstream) &&
+    if (!upstream->notice->IsLeaving() && !registry.IsEvacuated(*upstream) &&
         !upstream->IsCold(now)) {
       available.push_back(upstream.get());
     }
--- a/Source/Core/Flow/upstream.cc
+++ b/Source/Core/Flow/upstream.cc
@@ -109,7 +109,9 @@
 }
 
 Upstream::Upstream(UpstreamRecord registered)
-    : record(std::move(registered)), breaker(kBreakerSettings) {}
+    : record(std::move(registered)),
+      notice(std::make_shared<UpstreamNotice>(record.started_at_ms)),
+      breaker(kBreakerSettings) {}
 
 LoadShare Upstream::TotalLoad(Instant now, double mean_prefill_tokens) const {
   LoadShare total = own_load;
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -13,6 +13,7 @@
 
 #include "Core/Admission/breaker.h"
 #include "Core/Flow/desired_state.h"
+#include "Core/Flow/upstream_notice.h"
 
 namespace basilvalve::flow {
 
@@ -122,6 +123,9 @@
   explicit Upstream(UpstreamRecord registered);
 
   UpstreamRecord record;
+  /// Replaced when the upstream restarts, so that a call that was sent earlier
+  /// says nothing about the new process. Never nullptr.
+  UpstreamNotice::Ptr notice;
   Instant cold_until;
   /// Set when its registration was removed; no more requests are sent to it.
   bool is_removed = false;
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -48,6 +48,9 @@
 // Maximum number of cache updates per heartbeat; each lost update costs an
 // additional prefill.
 constexpr size_t kMaxPendingCacheUpdates = 64;
+// An upstream whose registration returns within this time is what it was. One
+// that leaves has ended by then.
+constexpr Seconds kNoticeMemory{600};
 
 uint64_t CacheTokens(uint64_t memory_tokens) {
   return static_cast<uint64_t>(kPromptCacheShare *
@@ -70,6 +73,7 @@
   }
   if (it == by_id_.end()) {
     auto upstream = std::make_shared<Upstream>(record);
+    RestoreNotice(upstream.get());
     by_service_[record.service].push_back(upstream);
     by_short_id_[ShortIdOf(record.id)] = upstream;
     it = by_id_.emplace(record.id, std::move(upstream)).first;
@@ -80,10 +84,59 @@
     upstream.cache.Clear();
     upstream.is_misdirected = false;
   }
+  if (!upstream.notice->Matches(record.started_at_ms)) {
+    upstream.notice = std::make_shared<UpstreamNotice>(record.started_at_ms);
+  }
+  upstream.notice->SetStart(record.started_at_ms);
+  bool has_changed = upstream.notice->OnRegistered(record.is_draining, now);
   upstream.record = record;
   upstream.cold_until = record.cold_remaining > Millis::zero()
                             ? now + record.cold_remaining
                             : Instant();
+  if (has_changed && leaving_handler_) {
+    leaving_handler_(upstream, now);
+  }
+}
+
+void UpstreamRegistry::RestoreNotice(Upstream* upstream) {
+  auto it = removed_notices_.find(upstream->record.id);
+  if (it == removed_notices_.end()) {
+    return;
+  }
+  if (it->second.service == upstream->record.service &&
+      it->second.notice->Matches(upstream->record.started_at_ms)) {
+    upstream->notice = std::move(it->second.notice);
+  }
+  removed_notices_.erase(it);
+}
+
+void UpstreamRegistry::Sweep(Instant now) {
+  for (auto& [id, removed] : removed_notices_) {
+    if (removed.first_swept_at == Instant()) {
+      removed.first_swept_at = now;
+    }
+  }
+  std::erase_if(removed_notices_, [now](const auto& entry) {
+    return now - entry.second.first_swept_at > kNoticeMemory;
+  });
+}
+
+std::optional<Instant> UpstreamRegistry::PausedUntil(const ServiceName& service,
+                                                     Instant now) const {
+  std::optional<Instant> earliest;
+  for (const Ptr& upstream : UpstreamsOf(service)) {
+    const UpstreamNotice& notice = *upstream->notice;
+    if (upstream->is_misdirected || notice.IsLeaving() ||
+        IsEvacuated(*upstream)) {
+      continue;
+    }
+    if (!notice.IsPaused(now)) {
+      return std::nullopt;
+    }
+    earliest = earliest ? std::min(*earliest, notice.paused_until())
+                        : notice.paused_until();
+  }
+  return earliest;
 }
 
 void UpstreamRegistry::Remove(const UpstreamId& id) {
@@ -92,6 +145,7 @@
     return;
   }
   it->second->is_removed = true;
+  removed_notices_[id] = {it->second->record.service, it->second->notice, {}};
   auto& list = by_service_[it->second->record.service];
   list.erase(std::remove(list.begin(), list.end(), it->second), list.end());
   by_short_id_.erase(ShortIdOf(id));
@@ -146,7 +200,7 @@
 
 bool UpstreamRegistry::CanSendTo(const Upstream& upstream, Instant now) const {
   return !upstream.is_removed && !upstream.is_misdirected &&
-         !upstream.record.is_draining && !IsEvacuated(upstream) &&
+         upstream.notice->Allows(now) && !IsEvacuated(upstream) &&
          upstream.breaker.Allows(now);
 }
 
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -68,6 +69,12 @@
   explicit UpstreamRegistry(RegionId own_region)
       : own_region_(std::move(own_region)) {}
 
+  /// Called after an upstream's registration changed whether it is leaving.
+  using LeavingHandler = std::function<void(const Upstream&, Instant)>;
+  void SetLeavingHandler(LeavingHandler handler) {
+    leaving_handler_ = std::move(handler);
+  }
+
   /// Adds or updates an upstream; removes it if it registered in another
   /// region.
   void Upsert(const UpstreamRecord& record, Instant now);
@@ -95,6 +102,12 @@
   const std::map<UpstreamId, Ptr>& all() const { return by_id_; }
   /// Whether the upstream accepts requests now, regardless of its load.
   bool CanSendTo(const Upstream& upstream, Instant now) const;
+  /// If all upstreams of a service that stay have asked this instance to pause:
+  /// the end of the first pause. nullopt if one has not, or none stays.
+  std::optional<Instant> PausedUntil(const ServiceName& service,
+                                     Instant now) const;
+  /// Forgets what was known of upstreams that were removed long ago.
+  void Sweep(Instant now);
   /// Updates the service's call rate after a call was sent to one of its
   /// upstreams.
   void OnSend(const ServiceName& service, Instant now);
@@ -134,6 +147,15 @@
                          Micros took);
 
  private:
+  /// The notice of an upstream that was removed; its registration may return.
+  struct RemovedNotice {
+    ServiceName service;
+    UpstreamNotice::Ptr notice;
+    Instant first_swept_at;
+  };
+
+  void RestoreNotice(Upstream* upstream);
+
   RegionId own_region_;
   std::map<UpstreamId, Ptr> by_id_;
   std::map<UpstreamShortId, Ptr> by_short_id_;
@@ -141,6 +163,8 @@
   std::set<DataCentreId> evacuated_;
   std::map<ServiceName, ServiceProfile> profiles_;
   std::vector<PromptCacheUpdate> cache_updates_;
+  std::map<UpstreamId, RemovedNotice> removed_notices_;
+  LeavingHandler leaving_handler_;
 };
 
 }  // namespace basilvalve::flow
