DRAIN, BUDGET: an upstream's words are decoded once and go no further

Cause: the platform's adapter read neither Server-Leaving nor Retry-After, and both were forwarded to callers. A response of an upstream with a header that only instances send, such as Basilvalve-Outcome, passed a hop unchanged, so that an upstream could forge the outcome of a call.

Conclusion: the words stay within the hop. Nothing uses them yet.

--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -49,6 +49,11 @@
   bool is_verified = false;
   /// Calls running and queued at the upstream, if it reported them.
   std::optional<flow::ReportedLoad> load;
+  /// Whether the sender of the response says that it is shutting down.
+  bool is_leaving = false;
+  /// How long the sender wants no calls from this instance; zero if it does not
+  /// say.
+  Millis pause{0};
 };
 
 /// Converts between this system's parameters and the platform's headers.
@@ -62,9 +67,13 @@
       const net::MessageHead& head) const = 0;
   /// Whether a header of the caller's request is forwarded to upstreams.
   virtual bool ForwardsHeader(const std::string& header) const = 0;
+  /// Whether a header of an upstream's response is forwarded to callers and to
+  /// other instances. False for what the upstream tells this instance alone.
+  virtual bool ForwardsResponseHeader(const std::string& header) const = 0;
   /// Appends the header lines that this system sets itself.
   virtual void AppendHeaders(const SendParams& params,
                              std::string* head) const = 0;
+  /// Parses the head of a final response to the call with the id.
   virtual ResponseInfo ParseResponseHead(const net::MessageHead& head,
                                          const RequestId& id) const = 0;
 };
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -250,7 +250,8 @@
         .With("status", 503)
         .With("reason", "draining");
     caller->Write(SerializeFailure(503, Millis(0), Outcome::kNotRun,
-                                   /*is_unsent=*/true, /*keep_alive=*/false));
+                                   /*is_unsent=*/true, /*hop_lines=*/{},
+                                   /*keep_alive=*/false));
     caller->EndResponse(/*keep_alive=*/false);
     return;
   }
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -373,7 +373,8 @@
 
 void Exchange::StartStream(const net::MessageHead& head) {
   stream_started_ = true;
-  caller_->Write(SerializeChunkedHead(head, KeepsAlive()));
+  caller_->Write(SerializeChunkedHead(head, *components_->dialect, {},
+                                      KeepsAlive()));
 }
 
 void Exchange::OnDone() {
@@ -457,7 +458,8 @@
   if (request_.head.method != "HEAD") {
     body = attempt_.body;
   }
-  caller_->Write(SerializeResponse(attempt_.head, body, keep));
+  caller_->Write(SerializeResponse(attempt_.head, *components_->dialect, {},
+                                   body, keep));
   caller_->EndResponse(keep);
   Finish("done", attempt_.head.status, "answered");
 }
@@ -595,7 +597,7 @@
   }
   bool keep = KeepsAlive();
   caller_->Write(SerializeFailure(status, retry_after, outcome,
-                                  progress_.sends == 0, keep));
+                                  progress_.sends == 0, {}, keep));
   caller_->EndResponse(keep);
   Finish(status == 503 ? "not-run" : "unknown", status, reason);
 }
--- a/Source/Core/Edge/hop_header.h
+++ b/Source/Core/Edge/hop_header.h
@@ -2,6 +2,7 @@
 // forwards to another.
 #pragma once
 
+#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,12 @@
 /// Response header between instances, beside the outcome "not-run": no upstream
 /// was sent the call.
 inline constexpr std::string_view kHopUnsentHeader = "Basilvalve-Unsent";
+/// Response header between instances of a region: the upstream that responded
+/// is leaving, as written by FormatHopLeaving.
+inline constexpr std::string_view kHopLeavingHeader = "Basilvalve-Leaving";
+/// All of them; a response of an upstream that has one does not pass it on.
+inline constexpr std::array<std::string_view, 3> kHopResponseHeaders = {
+    kHopOutcomeHeader, kHopUnsentHeader, kHopLeavingHeader};
 
 /// The sender's route parameters. The receiver does not look up the route
 /// itself, so that differing versions of the desired state cannot conflict.
--- a/Source/Core/Edge/message_serializer.cc
+++ b/Source/Core/Edge/message_serializer.cc
@@ -33,6 +33,14 @@
           net::HeaderListContains(*connection_options, name));
 }
 
+// Whether only instances send the header, to each other.
+bool IsInstanceHeader(std::string_view name) {
+  return std::any_of(kHopResponseHeaders.begin(), kHopResponseHeaders.end(),
+                     [name](std::string_view it) {
+                       return net::EqualsIgnoringCase(it, name);
+                     });
+}
+
 std::string_view ReasonPhrase(int status) {
   switch (status) {
     case 200:
@@ -92,19 +100,25 @@
   return out;
 }
 
-std::string SerializeResponseHead(const net::MessageHead& head) {
+std::string SerializeResponseHead(const net::MessageHead& head,
+                                  const CallDialect& dialect,
+                                  std::string_view hop_lines) {
   std::string out = StatusLine(head.status);
   for (const net::HeaderField& field : head.fields) {
-    if (!IsHopByHop(head, field.name)) {
+    if (!IsHopByHop(head, field.name) && !IsInstanceHeader(field.name) &&
+        dialect.ForwardsResponseHeader(field.name)) {
       AppendHeader(field.name, field.value, &out);
     }
   }
+  out.append(hop_lines);
   return out;
 }
 
 std::string SerializeResponse(const net::MessageHead& head,
-                              std::string_view body, bool keep_alive) {
-  std::string out = SerializeResponseHead(head);
+                              const CallDialect& dialect,
+                              std::string_view hop_lines, std::string_view body,
+                              bool keep_alive) {
+  std::string out = SerializeResponseHead(head, dialect, hop_lines);
   AppendHeader("Content-Length", std::to_string(body.size()), &out);
   EndHead(keep_alive, &out);
   out.append(body);
@@ -112,8 +126,9 @@
 }
 
 std::string SerializeChunkedHead(const net::MessageHead& head,
-                                 bool keep_alive) {
-  std::string out = SerializeResponseHead(head);
+                                 const CallDialect& dialect,
+                                 std::string_view hop_lines, bool keep_alive) {
+  std::string out = SerializeResponseHead(head, dialect, hop_lines);
   AppendHeader("Transfer-Encoding", "chunked", &out);
   EndHead(keep_alive, &out);
   return out;
@@ -121,7 +136,7 @@
 
 std::string SerializeFailure(int status, Millis retry_after,
                              std::optional<Outcome> outcome, bool is_unsent,
-                             bool keep_alive) {
+                             std::string_view hop_lines, bool keep_alive) {
   std::string out = StatusLine(status);
   AppendHeader("Content-Length", "0", &out);
   if (retry_after > Millis::zero()) {
@@ -136,6 +151,7 @@
   if (outcome && is_unsent) {
     AppendHeader(kHopUnsentHeader, "1", &out);
   }
+  out.append(hop_lines);
   EndHead(keep_alive, &out);
   return out;
 }
--- a/Source/Fakes/fake_dialect.cc
+++ b/Source/Fakes/fake_dialect.cc
@@ -30,6 +30,10 @@
          header != "Expected";
 }
 
+bool FakeDialect::ForwardsResponseHeader(const std::string& header) const {
+  return header != "Leaving" && header != "Pause-Ms";
+}
+
 void FakeDialect::AppendHeaders(const SendParams& params,
                                 std::string* head) const {
   head->append("Patience: " + std::to_string(params.time_left.count()) +
@@ -51,6 +55,11 @@
   info.is_misdirected = head.status == 421;
   info.not_executed = info.is_misdirected || head.Find("Not-Run") != nullptr;
   info.is_verified = head.Find("Proof") != nullptr;
+  info.is_leaving = !info.is_misdirected && head.Find("Leaving") != nullptr;
+  const std::string* text = head.Find("Pause-Ms");
+  if (text != nullptr && head.status == 503) {
+    info.pause = Millis(std::stoll(*text));
+  }
   return info;
 }
 
