DRAIN, BUDGET: an upstream that leaves or pauses gets nothing new

Cause: an upstream that said in an answer that it is leaving, or that it wants nothing for some seconds, got the next call all the same, until the store said so.

Change: NoticeRecorder takes each response to the notice of the process that the call was sent to, logs one line and counts as the belief changes. Who leaves is told to the region in an own array at the end of the heartbeat (the format number stays; earlier builds ignore it), and to the sender of a hop in Basilvalve-Leaving. A pause is told to nobody. A call that waits unsent for its connection is taken back and placed anew; it is no retry, and refused as not run if it has no other place. While all upstreams of a service that stay are paused, calls are refused with a Retry-After from the first end on, spread over as long again, also those whose refusal cannot be retried.

Evidence: notice_test, on virtual time. On a scratch copy its tests failed when CanSendTo ignored the notice, or pauses; a response was noted on the present process instead of its own; late answers, heartbeats or the hop's line told nothing; reports counted for any process; unsent calls stayed; a call taken back counted as sent; a registration was not announced; the pause was missing in the Retry-After, of a decision or of a refusal that cannot be retried; a 421 counted. Not seen to fail: the placer's homes without the check for leaving (CacheOwnersOf), which no test covers.

Conclusion: what an upstream says binds this instance at once. In a large region an instance that is no dispatcher does not report what it learns from its own plain calls: open.

--- a/Source/Core/Edge/attempt.cc
+++ b/Source/Core/Edge/attempt.cc
@@ -11,6 +11,7 @@
   flow::Upstream& upstream = *placement.upstream;
   Attempt attempt;
   attempt.upstream = placement.upstream;
+  attempt.notice = upstream.notice;
   attempt.forecast = placement.forecast;
   attempt.endpoint = {upstream.record.host, upstream.record.port};
   attempt.load_share.running = 1;
--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -17,6 +17,8 @@
   bool is_active = false;
   /// nullptr if the call is forwarded to another region.
   flow::UpstreamRegistry::Ptr upstream;
+  /// What was known of the upstream's process when the call was sent.
+  flow::UpstreamNotice::Ptr notice;
   /// For a forwarded call: the instance that received it.
   InstanceId peer;
   RegionId region;
@@ -37,6 +39,8 @@
   bool has_first_byte = false;
   /// The upstream states that it did not execute the call.
   bool is_refusal = false;
+  /// The upstream states in this response that it is leaving.
+  bool is_leaving = false;
   /// The response lacks the upstream's signature or its unmodified body.
   bool is_unverified = false;
   /// Set if a peer instance reported that no upstream produced a response.
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -71,8 +71,23 @@
          staleness_s / static_cast<double>(upstreams);
 }
 
+// Time until an upstream of the service takes calls again, if all of them
+// asked this instance for a pause; else zero.
+Micros PauseLeft(EdgeComponents* components, const ServiceName& service) {
+  Instant now = components->loop->Now();
+  return components->registry->PausedUntil(service, now).value_or(now) - now;
+}
+
 }  // namespace
 
+Millis PauseRetryAfter(EdgeComponents* components, const ServiceName& service) {
+  Micros left = PauseLeft(components, service);
+  double jitter = components->random->UniformDouble();
+  return std::chrono::ceil<Millis>(
+      left +
+      Micros(static_cast<int64_t>(jitter * static_cast<double>(left.count()))));
+}
+
 int UrgencyOf(const flow::Route& route) {
   return std::clamp(kTopRankUrgency + kUrgencyStep * route.priority, 0,
                     kLowestUrgency);
@@ -118,6 +133,8 @@
     plan.local = components->placer->Choose(request, now);
     if (plan.local) {
       input.local = plan.local->forecast;
+    } else {
+      input.pause_left = PauseLeft(components, context.service);
     }
   }
   if (!context.is_from_peer) {
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -64,6 +64,10 @@
 /// elsewhere, and a stream that has started is resumed. Thread safe.
 Millis SilenceTimeout(const flow::Route& route, bool has_started);
 
+/// If all upstreams of the service asked this instance for a pause: when a call
+/// may come back, spread over as long again; else zero. Not thread safe.
+Millis PauseRetryAfter(EdgeComponents* components, const ServiceName& service);
+
 /// Gathers the input of flow::DecideDispatch, takes its decision and records in
 /// the registry whether a new call was rejected. Not thread safe.
 CallPlan PlanCall(EdgeComponents* components, const CallContext& context,
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -48,6 +48,17 @@
           .Help("Bytes sent to and received from other regions.")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Counter>& notices =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_upstream_notices_total")
+          .Help("Upstreams that began to leave or pause, by source.")
+          .Register(registry);
+  prometheus::Counter& withdrawn =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_withdrawn_total")
+          .Help("Calls taken back unsent from upstreams that leave or pause.")
+          .Register(registry)
+          .Add({});
   prometheus::Counter& invalid_datagrams =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_bad_datagrams_total")
@@ -117,6 +128,15 @@
   impl_->cross_region_bytes.Increment(static_cast<double>(bytes));
 }
 
+void EdgeMetrics::CountNotice(std::string_view change,
+                              std::string_view source) {
+  impl_->notices
+      .Add({{"change", std::string(change)}, {"source", std::string(source)}})
+      .Increment();
+}
+
+void EdgeMetrics::CountWithdrawn() { impl_->withdrawn.Increment(); }
+
 void EdgeMetrics::CountInvalidDatagram() {
   impl_->invalid_datagrams.Increment();
 }
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -28,6 +28,12 @@
   void CountRetry(std::string_view reason);
   void CountStoreCall(std::string_view kind, int status);
   void CountCrossRegionBytes(uint64_t bytes);
+  /// Counts a change of what is known of an upstream's willingness: `change` is
+  /// "leaving" or "pause", `source` who said so.
+  void CountNotice(std::string_view change, std::string_view source);
+  /// Counts a call that was taken back before it was sent, since its upstream
+  /// said it wants none.
+  void CountWithdrawn();
   void CountInvalidDatagram();
   /// Counts the bytes that ended with a connection: of responses that were not
   /// written, and of requests that were read and discarded.
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -61,6 +61,8 @@
       dispatchers_(settings_.self, loop->Now()),
       upstream_pool_(loop, settings_.upstream_connections),
       peer_pool_(loop, settings_.peer_connections),
+      notices_(&registry_, &metrics_,
+               [this](const UpstreamId& id) { WithdrawUnsent(id); }),
       connections_(
           loop, &metrics_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
@@ -83,6 +85,7 @@
   components_.on_peer_unreachable = [this] { UpdateDispatchers(); };
   components_.upstream_pool = &upstream_pool_;
   components_.peer_pool = &peer_pool_;
+  components_.notices = &notices_;
   components_.metrics = &metrics_;
   components_.random = &random_;
   components_.region_round_trip = settings_.region_round_trip;
@@ -383,6 +386,7 @@
       upstream->time_per_token_at = now;
     }
   }
+  notices_.OnReports(heartbeat.leaving, now);
   for (const flow::PromptCacheUpdate& update : heartbeat.cache_updates) {
     registry_.OnNeighbourCacheUpdate(update, MemoryTokensOf(update.upstream));
   }
@@ -418,6 +422,7 @@
       // Only the owner of an upstream needs to know its cache.
       heartbeat.cache_updates.clear();
     }
+    heartbeat.leaving = notices_.Reports(now);
     heartbeat.relayed = std::exchange(relayed_heartbeats_, {});
     if (dispatchers_.has_catalog_readers() && dispatchers_.IsCatalogReader()) {
       heartbeat.catalog_revision = catalog_revision_;
@@ -607,10 +612,28 @@
   peer_pool_.Sweep();
   fleet_.Sweep(loop_->Now());
   cold_start_limiter_.Sweep(loop_->Now());
+  registry_.Sweep(loop_->Now());
   metrics_.SetConnectionsOpened(upstream_pool_.opened(), peer_pool_.opened());
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
 }
 
+void EdgeNode::WithdrawUnsent(const UpstreamId& id) {
+  auto upstream = registry_.Find(id);
+  if (!upstream) {
+    return;
+  }
+  for (const auto& [key, exchange] : exchanges_) {
+    if (exchange->IsUnsentTo(*upstream)) {
+      // Posted, as it may start or end other exchanges.
+      loop_->Post([weak = std::weak_ptr(exchange), upstream] {
+        if (auto self = weak.lock()) {
+          self->WithdrawUnsent(*upstream);
+        }
+      });
+    }
+  }
+}
+
 std::vector<std::string> EdgeNode::PublicAddressesFor(const RegionId& region,
                                                       std::string_view host) {
   Instant now = loop_->Now();
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -129,6 +129,8 @@
   void LogStall();
   void LogUnresponsiveInstances();
   void Sweep();
+  /// Sends calls elsewhere that still wait for a connection to the upstream.
+  void WithdrawUnsent(const UpstreamId& id);
   void CheckDrained();
   /// Ends the calls in flight; their callers get a failure.
   void EndCalls();
@@ -148,6 +150,7 @@
   flow::DispatcherSet dispatchers_;
   ConnectionPool upstream_pool_;
   ConnectionPool peer_pool_;
+  NoticeRecorder notices_;
   EdgeComponents components_;
   std::unique_ptr<net::Listener> public_listener_;
   std::unique_ptr<net::Listener> peer_listener_;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -231,6 +231,7 @@
   Instant now = components_->loop->Now();
   ResponseInfo response =
       components_->dialect->ParseResponseHead(head, params_.id);
+  RecordNotice(head, response);
   if (const std::string* outcome = head.Find(kHopOutcomeHeader);
       outcome != nullptr && !attempt_.upstream) {
     attempt_.peer_outcome = ParseOutcome(*outcome);
@@ -269,6 +270,47 @@
   return true;
 }
 
+void Exchange::RecordNotice(const net::MessageHead& head,
+                            const ResponseInfo& response) {
+  Instant now = components_->loop->Now();
+  if (attempt_.upstream) {
+    attempt_.is_leaving = response.is_leaving;
+    components_->notices->OnResponse(attempt_.upstream->record.id,
+                                     attempt_.notice.get(), response, now);
+    return;
+  }
+  if (const std::string* leaving = head.Find(kHopLeavingHeader)) {
+    components_->notices->OnHopLeaving(*leaving, now);
+  }
+}
+
+std::string Exchange::HopLines() const {
+  if (!context_.is_from_peer || !attempt_.is_leaving) {
+    return "";
+  }
+  return std::string(kHopLeavingHeader) + ": " +
+         FormatHopLeaving(
+             {attempt_.upstream->record.id, attempt_.notice->started_at_ms()}) +
+         "\r\n";
+}
+
+bool Exchange::IsUnsentTo(const flow::Upstream& upstream) const {
+  return attempt_.is_active && attempt_.upstream.get() == &upstream &&
+         !attempt_.connection->has_sent();
+}
+
+void Exchange::WithdrawUnsent(const flow::Upstream& upstream) {
+  if (is_finished_ || !IsUnsentTo(upstream)) {
+    return;
+  }
+  auto self = shared_from_this();
+  components_->metrics->CountWithdrawn();
+  CancelAttempt();
+  --possible_runs_;
+  --progress_.sends;
+  Dispatch();
+}
+
 void Exchange::OnFirstByte() {
   Instant now = components_->loop->Now();
   attempt_.has_first_byte = true;
@@ -373,7 +415,7 @@
 
 void Exchange::StartStream(const net::MessageHead& head) {
   stream_started_ = true;
-  caller_->Write(SerializeChunkedHead(head, *components_->dialect, {},
+  caller_->Write(SerializeChunkedHead(head, *components_->dialect, HopLines(),
                                       KeepsAlive()));
 }
 
@@ -458,8 +500,8 @@
   if (request_.head.method != "HEAD") {
     body = attempt_.body;
   }
-  caller_->Write(SerializeResponse(attempt_.head, *components_->dialect, {},
-                                   body, keep));
+  caller_->Write(SerializeResponse(attempt_.head, *components_->dialect,
+                                   HopLines(), body, keep));
   caller_->EndResponse(keep);
   Finish("done", attempt_.head.status, "answered");
 }
@@ -574,7 +616,9 @@
     return;
   }
   SendFailure(possible_runs_ > 0 ? 502 : 503,
-              std::max(kNotRunRetryAfter, attempt_.peer_retry_after), reason);
+              std::max({kNotRunRetryAfter, attempt_.peer_retry_after,
+                        PauseRetryAfter(components_, context_.service)}),
+              reason);
 }
 
 void Exchange::OnMayHaveRun(std::string_view reason) {
@@ -597,7 +641,7 @@
   }
   bool keep = KeepsAlive();
   caller_->Write(SerializeFailure(status, retry_after, outcome,
-                                  progress_.sends == 0, {}, keep));
+                                  progress_.sends == 0, HopLines(), keep));
   caller_->EndResponse(keep);
   Finish(status == 503 ? "not-run" : "unknown", status, reason);
 }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -32,10 +32,12 @@
   /// Ends the call because the process is about to exit: its caller gets a
   /// failure if no response has started. Not thread safe.
   void EndForShutdown();
-  /// Whether the current attempt is on this upstream. Not thread safe.
-  bool IsWaitingFor(const flow::Upstream& upstream) const {
-    return attempt_.upstream.get() == &upstream;
-  }
+  /// Whether the current attempt is on this upstream and nothing of it was sent
+  /// yet. Not thread safe.
+  bool IsUnsentTo(const flow::Upstream& upstream) const;
+  /// Places the call anew if it is still unsent to the upstream, which is not
+  /// to get any more calls. Not thread safe.
+  void WithdrawUnsent(const flow::Upstream& upstream);
 
   bool OnHead(const net::MessageHead& head) override;
   void OnBody(std::string_view bytes) override;
@@ -61,6 +63,10 @@
   void OnPeerFailed();
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
+  /// Records what the response says about its sender's willingness.
+  void RecordNotice(const net::MessageHead& head, const ResponseInfo& response);
+  /// Header lines of a response to a peer instance; empty for a caller.
+  std::string HopLines() const;
   void OnFirstByte();
   void ForwardStream(std::string_view bytes);
   /// Writes a part of the stream to the caller; an empty one ends it.
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -9,6 +9,7 @@
 
 // First element of each datagram; datagrams with another version are ignored.
 constexpr int kFormatVersion = 5;
+constexpr size_t kLeavingIndex = 17;
 
 flow::UpstreamReport ReadUpstreamReport(const json& row) {
   flow::UpstreamReport report;
@@ -72,6 +73,10 @@
     relayed.push_back(
         json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end())));
   }
+  json leaving = json::array();
+  for (const flow::LeavingReport& it : heartbeat.leaving) {
+    leaving.push_back({it.upstream.value(), it.started_at_ms, it.age.count()});
+  }
   const flow::InstanceRecord& from = heartbeat.from;
   json row = {kFormatVersion,
               from.id.value(),
@@ -89,7 +94,8 @@
               std::move(relayed),
               heartbeat.is_for_relay,
               heartbeat.catalog_revision,
-              heartbeat.catalog_age.count()};
+              heartbeat.catalog_age.count(),
+              std::move(leaving)};
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -130,6 +136,14 @@
     heartbeat.is_for_relay = row.at(14).get<bool>();
     heartbeat.catalog_revision = row.at(15).get<uint64_t>();
     heartbeat.catalog_age = Millis(row.at(16).get<int64_t>());
+    // Instances of earlier builds do not send it.
+    if (row.size() > kLeavingIndex) {
+      for (const json& it : row.at(kLeavingIndex)) {
+        heartbeat.leaving.push_back(
+            {flow::UpstreamShortId(it.at(0).get<uint64_t>()),
+             it.at(1).get<int64_t>(), Millis(it.at(2).get<int64_t>())});
+      }
+    }
     return heartbeat;
   } catch (const json::exception&) {
     // Not a valid heartbeat; the caller counts and logs it.
--- a/Source/Core/Edge/hop_header.cc
+++ b/Source/Core/Edge/hop_header.cc
@@ -9,6 +9,22 @@
 
 }  // namespace
 
+std::string FormatHopLeaving(const HopLeaving& leaving) {
+  return leaving.upstream.value() + ' ' + std::to_string(leaving.started_at_ms);
+}
+
+std::optional<HopLeaving> ParseHopLeaving(const std::string& text) {
+  std::istringstream in(text);
+  std::string upstream;
+  HopLeaving leaving;
+  in >> upstream >> leaving.started_at_ms;
+  if (!in || !(in >> std::ws).eof()) {
+    return std::nullopt;
+  }
+  leaving.upstream = UpstreamId(upstream);
+  return leaving;
+}
+
 std::string FormatHopHeader(const HopParams& params) {
   std::ostringstream out;
   out << params.service.value() << ' ' << static_cast<int>(params.kind) << ' '
--- a/Source/Core/Edge/hop_header.h
+++ b/Source/Core/Edge/hop_header.h
@@ -50,6 +50,18 @@
   UpstreamId suggested_upstream;
 };
 
+/// An upstream that is leaving, for kHopLeavingHeader.
+struct HopLeaving {
+  UpstreamId upstream;
+  /// Start of its process, Unix milliseconds; 0 if unknown.
+  int64_t started_at_ms = 0;
+};
+
+/// Thread safe.
+std::string FormatHopLeaving(const HopLeaving& leaving);
+/// Inverse of FormatHopLeaving; nullopt if the text is malformed. Thread safe.
+std::optional<HopLeaving> ParseHopLeaving(const std::string& text);
+
 /// Thread safe.
 std::string FormatHopHeader(const HopParams& params);
 /// Inverse of FormatHopHeader; nullopt if the text is malformed. Thread safe.
