Edge: log and count upstreams that crash under a call

Cause: logs and metrics could not tell a crashed upstream from a reset connection, nor name the prompt parts of the lost calls, so the hypotheses of the incident could not be told apart. Change: after a connection breaks before a call's second event, one new connection to the upstream is opened through the pool; if it is refused, the upstream crashed, unless it is leaving. upstream_crashed names call, upstream and parts; a counter counts crashes.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -35,6 +35,11 @@
   /// report the sum to the region's other instances.
   flow::LoadShare load_share;
   bool has_first_byte = false;
+  /// Events of the call's stream before this attempt.
+  uint64_t events_before = 0;
+  /// Whether the upstream has got past the start of its response, which is
+  /// where a deadly prompt part crashes it.
+  bool is_past_start = false;
   /// The upstream states that it did not execute the call.
   bool is_refusal = false;
   /// The response lacks the upstream's signature or its unmodified body.
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -1,5 +1,9 @@
 #include "Core/Edge/call_log.h"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
 #include "Core/Common/log.h"
 
 namespace basilvalve::edge {
@@ -9,6 +13,12 @@
   return std::chrono::floor<Millis>(time).count();
 }
 
+std::string InHex(flow::PromptPartId part) {
+  std::array<char, 20> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, part.value());
+  return text.data();
+}
+
 }  // namespace
 
 void LogCallRejected(const CallParams& params, const CallContext& context,
@@ -38,6 +48,27 @@
       .With("time_to_deadline_ms", time_left.count());
 }
 
+void LogLostCall(const RequestId& request, const UpstreamId& upstream,
+                 const std::vector<flow::PromptPartId>& parts) {
+  std::string text;
+  for (flow::PromptPartId part : parts) {
+    text.append(text.empty() ? "" : ",").append(InHex(part));
+  }
+  LogEvent(LogLevel::kWarn, "edge", "upstream_crashed")
+      .With("request", request.value())
+      .With("upstream", upstream.value())
+      .With("parts", text);
+}
+
+void LogPartVerdict(const flow::PartVerdict& verdict) {
+  LogEvent(LogLevel::kWarn, "edge",
+           verdict.is_blocked ? "part_blocked" : "part_cleared")
+      .With("part", InHex(verdict.part))
+      .With("generation", static_cast<int64_t>(verdict.generation))
+      .With("probes", static_cast<int64_t>(verdict.probes))
+      .With("blocked_for_ms", InMillis(verdict.time_left));
+}
+
 void LogCallEnd(const CallParams& params, const CallContext& context,
                 const CallProgress& progress, const CallSummary& summary) {
   LogEvent(LogLevel::kInfo, "edge", "call_ended")
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "Core/Edge/call_planner.h"
+#include "Core/Flow/poison_tracker.h"
 
 namespace basilvalve::edge {
 
@@ -24,6 +25,12 @@
 /// Logs that a call is retried. Thread safe.
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left);
+/// Logs that an upstream crashed under a call, with the call's shared prompt
+/// parts. Thread safe.
+void LogLostCall(const RequestId& request, const UpstreamId& upstream,
+                 const std::vector<flow::PromptPartId>& parts);
+/// Logs that a prompt part was blocked or cleared. Thread safe.
+void LogPartVerdict(const flow::PartVerdict& verdict);
 /// Logs the end of a call. Thread safe.
 void LogCallEnd(const CallParams& params, const CallContext& context,
                 const CallProgress& progress, const CallSummary& summary);
--- a/Source/Core/Edge/connection_pool.cc
+++ b/Source/Core/Edge/connection_pool.cc
@@ -38,6 +38,10 @@
     }
     connection->Close();
   }
+  return Open(to);
+}
+
+ConnectionPool::Ptr ConnectionPool::Open(const net::Endpoint& to) {
   ++opened_;
   return net::ClientConnection::Open(loop_, to, settings_.connect_timeout,
                                      settings_.unacked_timeout);
--- a/Source/Core/Edge/connection_pool.h
+++ b/Source/Core/Edge/connection_pool.h
@@ -31,6 +31,8 @@
   /// sent twice (`is_non_retryable_call`) only gets an idle connection that
   /// the server cannot be closing yet.
   Ptr Take(const net::Endpoint& to, bool is_non_retryable_call);
+  /// Opens a new connection. Not thread safe.
+  Ptr Open(const net::Endpoint& to);
   /// Returns a connection after its response; closes it if it is not reusable
   /// or the pool is full.
   void Put(const net::Endpoint& to, Ptr connection);
--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -7,6 +7,7 @@
 #include "Core/Edge/call_dialect.h"
 #include "Core/Edge/connection_pool.h"
 #include "Core/Edge/edge_metrics.h"
+#include "Core/Edge/poison_guard.h"
 #include "Core/Flow/cold_start_limiter.h"
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
@@ -27,6 +28,7 @@
   flow::DispatcherSet* dispatchers = nullptr;
   ConnectionPool* upstream_pool = nullptr;
   ConnectionPool* peer_pool = nullptr;
+  PoisonGuard* poison_guard = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
   /// Called after a peer instance was excluded.
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -37,6 +37,12 @@
           .Name("basilvalve_edge_repeats_total")
           .Help("Calls retried, by reason.")
           .Register(registry);
+  prometheus::Counter& upstream_crashes =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_upstream_crashes_total")
+          .Help("Upstreams that crashed under calls before their first events.")
+          .Register(registry)
+          .Add({});
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_store_calls_total")
@@ -107,6 +113,8 @@
   impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void EdgeMetrics::CountUpstreamCrash() { impl_->upstream_crashes.Increment(); }
+
 void EdgeMetrics::CountStoreCall(std::string_view kind, int status) {
   impl_->store_calls
       .Add({{"kind", std::string(kind)}, {"status", std::to_string(status)}})
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -26,6 +26,8 @@
   /// ("away").
   void CountSend(std::string_view where);
   void CountRetry(std::string_view reason);
+  /// Counts an upstream that crashed under calls of this instance.
+  void CountUpstreamCrash();
   void CountStoreCall(std::string_view kind, int status);
   void CountCrossRegionBytes(uint64_t bytes);
   void CountInvalidDatagram();
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -61,6 +61,7 @@
       dispatchers_(settings_.self, loop->Now()),
       upstream_pool_(loop, settings_.upstream_connections),
       peer_pool_(loop, settings_.peer_connections),
+      poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_),
       connections_(
           loop, &metrics_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
@@ -83,6 +84,7 @@
   components_.on_peer_unreachable = [this] { UpdateDispatchers(); };
   components_.upstream_pool = &upstream_pool_;
   components_.peer_pool = &peer_pool_;
+  components_.poison_guard = &poison_guard_;
   components_.metrics = &metrics_;
   components_.random = &random_;
   components_.region_round_trip = settings_.region_round_trip;
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -148,6 +148,7 @@
   flow::DispatcherSet dispatchers_;
   ConnectionPool upstream_pool_;
   ConnectionPool peer_pool_;
+  PoisonGuard poison_guard_;
   EdgeComponents components_;
   std::unique_ptr<net::Listener> public_listener_;
   std::unique_ptr<net::Listener> peer_listener_;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -27,6 +27,8 @@
 // Instances of the region that are asked one after the other before the call is
 // refused; each of them knows the load of its upstreams.
 constexpr size_t kMaxTriedDispatchers = 2;
+// Events after which an upstream has got past the start of its response.
+constexpr uint64_t kStartEvents = 2;
 
 // Response bodies are buffered up to this size if the response states its
 // length, else up to the second one, since such a body may never end.
@@ -221,6 +223,7 @@
   attempt_.connection = std::move(connection);
   // However the last attempt ended, this one starts at an event boundary.
   splitter_.DropPartial();
+  attempt_.events_before = splitter_.events();
   ++progress_.sends;
   ++possible_runs_;
   attempt_.connection->Send(std::move(bytes), this);
@@ -289,6 +292,17 @@
   attempt_.upstream->breaker.OnSuccess();
 }
 
+void Exchange::OnPastStart() {
+  if (attempt_.upstream && !std::exchange(attempt_.is_past_start, true)) {
+    components_->poison_guard->OnSurvival(params_);
+  }
+}
+
+bool Exchange::MayHaveCrashed() const {
+  return attempt_.upstream && !attempt_.is_past_start &&
+         params_.size.IsModelCall();
+}
+
 void Exchange::OnBody(std::string_view bytes) {
   if (attempt_.upstream) {
     attempt_.upstream->last_received_at = components_->loop->Now();
@@ -342,6 +356,9 @@
                                              time_per_token_us, now);
   }
   attempt_.last_event_at = now;
+  if (splitter_.events() - attempt_.events_before >= kStartEvents) {
+    OnPastStart();
+  }
   if (!stream_started_) {
     StartStream(attempt_.head);
   }
@@ -400,6 +417,16 @@
         classification.verdict == ResponseVerdict::kForward ||
         classification.verdict == ResponseVerdict::kStreamComplete;
     attempt_.RecordResult(/*has_failed=*/!is_success, components_->loop->Now());
+    // A response that ends with its connection may have been cut by a crash.
+    bool ends_with_connection =
+        !attempt_.head.content_length && !attempt_.head.chunked;
+    if (is_success && !ends_with_connection &&
+        attempt_.head.status / 100 == 2) {
+      OnPastStart();
+    } else if (ends_with_connection && MayHaveCrashed()) {
+      components_->poison_guard->OnConnectionLost(attempt_.upstream, params_,
+                                                  {});
+    }
   }
   switch (classification.verdict) {
     case ResponseVerdict::kNotRun:
@@ -487,6 +514,10 @@
     components_->fleet->OnUnreachable(attempt_.peer, components_->loop->Now());
     components_->on_peer_unreachable();
   }
+  if (was_sent && client_error == net::ClientError::kConnectionClosed &&
+      MayHaveCrashed()) {
+    components_->poison_guard->OnConnectionLost(attempt_.upstream, params_, {});
+  }
   if (is_finished_) {
     on_ended_(this);
     return;
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -62,6 +62,10 @@
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
   void OnFirstByte();
+  /// The upstream has got past the start of its response.
+  void OnPastStart();
+  /// Whether a response that broke off may have been cut by a crash.
+  bool MayHaveCrashed() const;
   void ForwardStream(std::string_view bytes);
   /// Writes a part of the stream to the caller; an empty one ends it.
   void WriteChunk(std::string_view bytes);
--- /dev/null
+++ b/Source/Core/Edge/poison_guard.cc
@@ -0,0 +1,54 @@
+#include "Core/Edge/poison_guard.h"
+
+#include "Core/Common/hash.h"
+#include "Core/Edge/call_log.h"
+
+namespace basilvalve::edge {
+
+PoisonGuard::PoisonGuard(net::EventLoop* loop, ConnectionPool* upstream_pool,
+                         const flow::UpstreamRegistry* registry,
+                         const flow::FleetView* fleet, EdgeMetrics* metrics)
+    : loop_(loop),
+      fleet_(fleet),
+      metrics_(metrics),
+      detector_(loop, upstream_pool, registry,
+                [this](const flow::Upstream& upstream,
+                       const std::vector<LostCall>& calls,
+                       Instant at) { OnCrash(upstream, calls, at); }) {}
+
+void PoisonGuard::OnSurvival(const CallParams& params) {
+  if (params.size.IsModelCall()) {
+    tracker_.OnSurvival(flow::SharedPartsOf(params.size), loop_->Now());
+    LogChanges();
+  }
+}
+
+void PoisonGuard::OnConnectionLost(const flow::UpstreamRegistry::Ptr& upstream,
+                                   const CallParams& params,
+                                   CrashDetector::DoneFn done) {
+  detector_.OnConnectionLost(
+      upstream, {params.id, flow::SharedPartsOf(params.size)}, std::move(done));
+}
+
+void PoisonGuard::OnCrash(const flow::Upstream& upstream,
+                          const std::vector<LostCall>& calls, Instant at) {
+  metrics_->CountUpstreamCrash();
+  std::vector<std::vector<flow::PromptPartId>> parts;
+  for (const LostCall& call : calls) {
+    LogLostCall(call.request, upstream.record.id, call.parts);
+    parts.push_back(call.parts);
+  }
+  ++crashes_;
+  const flow::InstanceRecord& self = fleet_->self();
+  flow::CrashId crash(Hash64(self.id.value(), self.incarnation + crashes_));
+  tracker_.OnCrash(crash, flow::ShortIdOf(upstream.record.id), parts, at);
+  LogChanges();
+}
+
+void PoisonGuard::LogChanges() {
+  for (const flow::PartVerdict& verdict : tracker_.TakeChanges(loop_->Now())) {
+    LogPartVerdict(verdict);
+  }
+}
+
+}  // namespace basilvalve::edge
--- /dev/null
+++ b/Source/Core/Edge/poison_guard.h
@@ -0,0 +1,43 @@
+// Keeps calls with a prompt part that crashes upstreams away from them.
+#pragma once
+
+#include <optional>
+
+#include "Core/Edge/call_dialect.h"
+#include "Core/Edge/crash_detector.h"
+#include "Core/Edge/edge_metrics.h"
+#include "Core/Flow/fleet_view.h"
+
+namespace basilvalve::edge {
+
+/// Connects the detection of crashes, the evidence against prompt parts and the
+/// exchange of both with other instances. Not thread safe.
+class PoisonGuard {
+ public:
+  /// The pointers must outlive the guard.
+  PoisonGuard(net::EventLoop* loop, ConnectionPool* upstream_pool,
+              const flow::UpstreamRegistry* registry,
+              const flow::FleetView* fleet, EdgeMetrics* metrics);
+
+  /// Records that a call got past its first events.
+  void OnSurvival(const CallParams& params);
+  /// A call's connection to an upstream broke before that. `done`, if set, is
+  /// called from the loop, with whether the upstream crashed.
+  void OnConnectionLost(const flow::UpstreamRegistry::Ptr& upstream,
+                        const CallParams& params, CrashDetector::DoneFn done);
+
+ private:
+  void OnCrash(const flow::Upstream& upstream,
+               const std::vector<LostCall>& calls, Instant at);
+  /// Logs the parts that were blocked or cleared since the last call.
+  void LogChanges();
+
+  net::EventLoop* loop_;
+  const flow::FleetView* fleet_;
+  EdgeMetrics* metrics_;
+  flow::PoisonTracker tracker_;
+  CrashDetector detector_;
+  uint64_t crashes_ = 0;
+};
+
+}  // namespace basilvalve::edge
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -1,6 +1,7 @@
 #include "Core/Net/client_connection.h"
 
 #include <charconv>
+#include <utility>
 
 namespace basilvalve::net {
 namespace {
@@ -46,9 +47,15 @@
   if (closed_ || connected_) {
     return;
   }
+  auto self = shared_from_this();
   connect_timer_.Cancel();
+  auto on_connect = std::exchange(on_connect_, nullptr);
   if (!connected) {
+    bool is_refused = socket_->is_refused();
     FailRequest(ClientError::kConnectFailed);
+    if (on_connect) {
+      on_connect(is_refused ? ConnectResult::kRefused : ConnectResult::kFailed);
+    }
     return;
   }
   connected_ = true;
@@ -57,6 +64,9 @@
   if (!closed_) {
     WaitForBytes();
   }
+  if (on_connect) {
+    on_connect(ConnectResult::kConnected);
+  }
 }
 
 void ClientConnection::Send(std::string bytes, ClientObserver* observer) {
@@ -271,6 +281,7 @@
   observer_ = nullptr;
   closed_ = true;
   reusable_ = false;
+  on_connect_ = nullptr;
   connect_timer_.Cancel();
   if (socket_) {
     socket_->Close();
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -1,6 +1,7 @@
 // A client HTTP/1.1 connection that carries one request at a time.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -21,6 +22,15 @@
   kMalformedResponse,
 };
 
+/// How a connection attempt ended.
+enum class ConnectResult {
+  kConnected,
+  /// Nothing listens at the address.
+  kRefused,
+  /// No answer in time, or no path to the host.
+  kFailed,
+};
+
 /// Receives the response to one request. Callbacks run on the loop thread.
 class ClientObserver {
  public:
@@ -52,6 +62,11 @@
   /// `observer` outlives its OnDone or OnError call or the call to Close. Not
   /// thread safe.
   void Send(std::string bytes, ClientObserver* observer);
+  /// Calls `fn` once when the connection is established or has failed, but not
+  /// after Close. Pre: neither has happened. Not thread safe.
+  void SetConnectHandler(std::function<void(ConnectResult)> fn) {
+    on_connect_ = std::move(fn);
+  }
   /// Closes the connection without calling the observer. Not thread safe.
   void Close();
   /// Stops reading until Resume, so that TCP flow control slows the server
@@ -95,6 +110,7 @@
   Timer connect_timer_;
   MessageParser parser_;
   ClientObserver* observer_ = nullptr;
+  std::function<void(ConnectResult)> on_connect_;
   std::string unparsed_;
   WriteBuffer write_buffer_;
   // Bytes written by earlier requests on this connection.
--- a/Source/Core/Net/socket.cc
+++ b/Source/Core/Net/socket.cc
@@ -77,6 +77,7 @@
   std::function<void(bool)> on_connect;
   std::function<void()> on_readable;
   std::function<void()> on_writable;
+  bool is_refused = false;
 };
 
 namespace {
@@ -117,12 +118,17 @@
     return std::make_unique<Socket>(impl);
   }
   ConfigureStream(&impl->stream, unacked_timeout);
-  impl->stream.async_connect(
-      tcp::endpoint(*address, to.port),
-      [finish](const error_code& failed) { finish(!failed); });
+  impl->stream.async_connect(tcp::endpoint(*address, to.port),
+                             [finish, impl](const error_code& failed) {
+                               impl->is_refused =
+                                   failed == asio::error::connection_refused;
+                               finish(!failed);
+                             });
   return std::make_unique<Socket>(impl);
 }
 
+bool Socket::is_refused() const { return impl_->is_refused; }
+
 void Socket::StartTls(const TlsContext& context) {
   impl_->tls =
       std::make_unique<TlsSession>(context, impl_->stream.native_handle());
--- a/Source/Core/Net/socket.h
+++ b/Source/Core/Net/socket.h
@@ -63,6 +63,9 @@
   /// Closes the connection; with unread bytes, the peer receives a reset. Not
   /// thread safe.
   void Close();
+  /// Whether the connection attempt was refused by the peer's host, so that
+  /// nothing listens there. Not thread safe.
+  bool is_refused() const;
   /// IP address of the peer, empty once it is disconnected. Not thread safe.
   std::string PeerHost() const;
 
