Edge: heartbeats carry crashes, survivals and blocked prompt parts

Cause: each instance sees few of the calls with a deadly part; alone, each of them would let three events pass. The format number stays: older readers ignore the last element, and it is left out when there is nothing to tell. Relayed heartbeats carry it as it is.

Conclusion: the fleet decides on all of its evidence.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -342,6 +342,7 @@
   if (!fleet_.OnHeartbeat(*heartbeat, loop_->Now())) {
     return;
   }
+  poison_guard_.OnReport(heartbeat->poison);
   if (heartbeat->from.region != settings_.self.region) {
     if (heartbeat->is_for_relay &&
         relayed_heartbeats_.size() < kMaxRelayedHeartbeats) {
@@ -352,8 +353,9 @@
   for (const std::string& relayed : heartbeat->relayed) {
     auto inner = DecodeHeartbeat(relayed);
     // Only a heartbeat of another region is relayed.
-    if (inner && inner->from.region != settings_.self.region) {
-      fleet_.OnHeartbeat(*inner, loop_->Now());
+    if (inner && inner->from.region != settings_.self.region &&
+        fleet_.OnHeartbeat(*inner, loop_->Now())) {
+      poison_guard_.OnReport(inner->poison);
     }
   }
   if (heartbeat->state_version > region_state_version_) {
@@ -413,6 +415,7 @@
   heartbeat.from = fleet_.self();
   heartbeat.sequence = ++heartbeat_sequence_;
   heartbeat.state_version = state_ ? state_->version() : 0;
+  heartbeat.poison = poison_guard_.MakeReport();
   if (is_for_region) {
     heartbeat.cache_updates = registry_.TakeCacheUpdates();
     if (dispatchers_.is_exclusive()) {
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -1,5 +1,6 @@
 #include "Core/Edge/heartbeat_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace basilvalve::edge {
@@ -10,6 +11,80 @@
 // First element of each datagram; datagrams with another version are ignored.
 constexpr int kFormatVersion = 5;
 
+// Elements that every instance sends; an instance that does not know a later
+// one ignores it.
+constexpr size_t kBaseElements = 17;
+
+// Bounds what a datagram can add to the state of its receiver.
+constexpr size_t kMaxPoisonRows = 64;
+
+json EncodePoison(const flow::PoisonReport& report) {
+  json crashed_calls = json::array();
+  for (const flow::CrashedCall& it : report.crashed_calls) {
+    json row = {it.crash.value(), it.upstream.value(),
+                std::chrono::floor<Millis>(it.age).count()};
+    for (flow::PromptPartId part : it.parts) {
+      row.push_back(part.value());
+    }
+    crashed_calls.push_back(std::move(row));
+  }
+  json survivals = json::array();
+  for (const flow::PartSurvival& it : report.survivals) {
+    survivals.push_back(
+        {it.part.value(), std::chrono::floor<Millis>(it.age).count()});
+  }
+  json verdicts = json::array();
+  for (const flow::PartVerdict& it : report.verdicts) {
+    verdicts.push_back({it.part.value(), it.generation, it.is_blocked,
+                        std::chrono::ceil<Millis>(it.time_left).count(),
+                        it.probes,
+                        std::chrono::floor<Millis>(it.idle).count()});
+  }
+  json poison = json::array();
+  poison.push_back(std::move(crashed_calls));
+  poison.push_back(std::move(survivals));
+  poison.push_back(std::move(verdicts));
+  return poison;
+}
+
+Millis ReadMillis(const json& value) {
+  // A day: far more than any of the times, and safe to add to an instant.
+  return Millis(std::clamp<int64_t>(value.get<int64_t>(), 0, 86'400'000));
+}
+
+flow::PoisonReport ReadPoison(const json& poison) {
+  flow::PoisonReport report;
+  for (const json& row : poison.at(0)) {
+    if (report.crashed_calls.size() < kMaxPoisonRows) {
+      flow::CrashedCall& it = report.crashed_calls.emplace_back();
+      it.crash = flow::CrashId(row.at(0).get<uint64_t>());
+      it.upstream = flow::UpstreamShortId(row.at(1).get<uint64_t>());
+      it.age = ReadMillis(row.at(2));
+      for (size_t i = 3; i < row.size(); ++i) {
+        it.parts.emplace_back(row.at(i).get<uint64_t>());
+      }
+    }
+  }
+  for (const json& row : poison.at(1)) {
+    if (report.survivals.size() < kMaxPoisonRows) {
+      report.survivals.push_back({flow::PromptPartId(row.at(0).get<uint64_t>()),
+                                  ReadMillis(row.at(1))});
+    }
+  }
+  for (const json& row : poison.at(2)) {
+    if (report.verdicts.size() < kMaxPoisonRows) {
+      flow::PartVerdict& it = report.verdicts.emplace_back();
+      it.part = flow::PromptPartId(row.at(0).get<uint64_t>());
+      it.generation = row.at(1).get<uint32_t>();
+      it.is_blocked = row.at(2).get<bool>();
+      it.time_left = ReadMillis(row.at(3));
+      it.probes = row.at(4).get<uint32_t>();
+      it.idle = ReadMillis(row.at(5));
+    }
+  }
+  return report;
+}
+
 flow::UpstreamReport ReadUpstreamReport(const json& row) {
   flow::UpstreamReport report;
   report.load.running = row.at(1).get<uint32_t>();
@@ -90,6 +165,9 @@
               heartbeat.is_for_relay,
               heartbeat.catalog_revision,
               heartbeat.catalog_age.count()};
+  if (!heartbeat.poison.empty()) {
+    row.push_back(EncodePoison(heartbeat.poison));
+  }
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -130,6 +208,9 @@
     heartbeat.is_for_relay = row.at(14).get<bool>();
     heartbeat.catalog_revision = row.at(15).get<uint64_t>();
     heartbeat.catalog_age = Millis(row.at(16).get<int64_t>());
+    if (row.size() > kBaseElements) {
+      heartbeat.poison = ReadPoison(row.at(kBaseElements));
+    }
     return heartbeat;
   } catch (const json::exception&) {
     // Not a valid heartbeat; the caller counts and logs it.
--- a/Source/Core/Edge/poison_guard.cc
+++ b/Source/Core/Edge/poison_guard.cc
@@ -30,6 +30,19 @@
       upstream, {params.id, flow::SharedPartsOf(params.size)}, std::move(done));
 }
 
+flow::PoisonReport PoisonGuard::MakeReport() {
+  flow::PoisonReport report = tracker_.MakeReport(loop_->Now());
+  LogChanges();
+  return report;
+}
+
+void PoisonGuard::OnReport(const flow::PoisonReport& report) {
+  if (!report.empty()) {
+    tracker_.OnReport(report, loop_->Now());
+    LogChanges();
+  }
+}
+
 void PoisonGuard::OnCrash(const flow::Upstream& upstream,
                           const std::vector<LostCall>& calls, Instant at) {
   metrics_->CountUpstreamCrash();
--- a/Source/Core/Edge/poison_guard.h
+++ b/Source/Core/Edge/poison_guard.h
@@ -25,6 +25,10 @@
   /// called from the loop, with whether the upstream crashed.
   void OnConnectionLost(const flow::UpstreamRegistry::Ptr& upstream,
                         const CallParams& params, CrashDetector::DoneFn done);
+  /// What the next heartbeat tells the other instances.
+  flow::PoisonReport MakeReport();
+  /// Applies what another instance's heartbeat tells.
+  void OnReport(const flow::PoisonReport& report);
 
  private:
   void OnCrash(const flow::Upstream& upstream,
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Core/Flow/placement.h"
+#include "Core/Flow/poison_tracker.h"
 
 namespace basilvalve::flow {
 
@@ -82,6 +83,8 @@
   /// Whether the receiver, in another region, passes the heartbeat on within
   /// its region.
   bool is_for_relay = false;
+  /// Prompt parts that crash upstreams.
+  PoisonReport poison;
 };
 
 /// Capacity of another region, from the most recent heartbeat of its instances.
