--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -60,6 +60,21 @@
       .With("parts", text);
 }
 
+void LogCallBlocked(const CallParams& params, const CallProgress& progress,
+                    const flow::BlockedPart& blocked) {
+  LogEvent(LogLevel::kInfo, "edge", "call_blocked")
+      .With("request", params.id.value())
+      .With("part", InHex(blocked.part))
+      .With("sends", progress.sends)
+      .With("blocked_for_ms", InMillis(blocked.time_left));
+}
+
+void LogProbe(const RequestId& request, flow::PromptPartId part) {
+  LogEvent(LogLevel::kWarn, "edge", "part_probed")
+      .With("request", request.value())
+      .With("part", InHex(part));
+}
+
 void LogPartVerdict(const flow::PartVerdict& verdict) {
   LogEvent(LogLevel::kWarn, "edge",
            verdict.is_blocked ? "part_blocked" : "part_cleared")
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -29,6 +29,11 @@
 /// parts. Thread safe.
 void LogLostCall(const RequestId& request, const UpstreamId& upstream,
                  const std::vector<flow::PromptPartId>& parts);
+/// Logs that a call is refused because of a blocked prompt part. Thread safe.
+void LogCallBlocked(const CallParams& params, const CallProgress& progress,
+                    const flow::BlockedPart& blocked);
+/// Logs that a call is sent as the probe of a blocked prompt part. Thread safe.
+void LogProbe(const RequestId& request, flow::PromptPartId part);
 /// Logs that a prompt part was blocked or cleared. Thread safe.
 void LogPartVerdict(const flow::PartVerdict& verdict);
 /// Logs the end of a call. Thread safe.
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -92,6 +92,12 @@
                   const CallParams& params, const CallProgress& progress) {
   Instant now = components->loop->Now();
   const flow::Route& route = *context.route;
+  auto blocked = components->poison_guard->FindBlocked(params);
+  if (blocked && !blocked->is_probe_due) {
+    CallPlan refused;
+    refused.blocked = blocked;
+    return refused;
+  }
   flow::DispatchInput input =
       BuildDispatchInput(components, context, params, progress);
   CallPlan plan;
@@ -143,6 +149,10 @@
       (progress.sends > 0 || context.is_from_peer) && !context.is_last_hop) {
     plan.decision.kind = flow::DispatchKind::kLocal;
   }
+  if (blocked && plan.decision.kind == flow::DispatchKind::kRemote) {
+    plan.decision.kind = flow::DispatchKind::kRefuse;
+  }
+  plan.blocked = blocked;
   return plan;
 }
 
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -54,6 +54,9 @@
 struct CallPlan {
   flow::DispatchDecision decision;
   std::optional<flow::Placement> local;
+  /// Set if a part of the prompt is blocked: the call is refused, or sent from
+  /// here as the part's probe.
+  std::optional<flow::BlockedPart> blocked;
 };
 
 /// Urgency that is sent to engines with a route's calls, from the route's
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -43,6 +43,12 @@
           .Help("Upstreams that crashed under calls before their first events.")
           .Register(registry)
           .Add({});
+  prometheus::Counter& blocked_calls =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_blocked_calls_total")
+          .Help("Calls refused because a part of their prompt is blocked.")
+          .Register(registry)
+          .Add({});
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_store_calls_total")
@@ -115,6 +121,8 @@
 
 void EdgeMetrics::CountUpstreamCrash() { impl_->upstream_crashes.Increment(); }
 
+void EdgeMetrics::CountBlockedCall() { impl_->blocked_calls.Increment(); }
+
 void EdgeMetrics::CountStoreCall(std::string_view kind, int status) {
   impl_->store_calls
       .Add({{"kind", std::string(kind)}, {"status", std::to_string(status)}})
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -28,6 +28,8 @@
   void CountRetry(std::string_view reason);
   /// Counts an upstream that crashed under calls of this instance.
   void CountUpstreamCrash();
+  /// Counts a call that was refused because of a blocked prompt part.
+  void CountBlockedCall();
   void CountStoreCall(std::string_view kind, int status);
   void CountCrossRegionBytes(uint64_t bytes);
   void CountInvalidDatagram();
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -50,6 +50,7 @@
   flow::UpstreamRegistry& registry() { return registry_; }
   flow::FleetView& fleet() { return fleet_; }
   EdgeMetrics& metrics() { return metrics_; }
+  const PoisonGuard& poison_guard() const { return poison_guard_; }
   const EdgeSettings& settings() const { return settings_; }
 
   /// Receives what the region's readers of the platform's catalog pass on.
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -19,6 +19,8 @@
 // Retry-After for calls that were not executed for a reason other than load;
 // they can be retried soon.
 constexpr Millis kNotRunRetryAfter{200};
+// Longest Retry-After of calls with a blocked prompt part.
+constexpr Millis kMaxBlockedRetryAfter{60'000};
 // A timer this late shows that this process did not run, and so could not
 // have received anything.
 constexpr Millis kLateTimer{200};
@@ -91,6 +93,14 @@
 
 void Exchange::Execute(const CallPlan& plan) {
   const flow::DispatchDecision& decision = plan.decision;
+  if (plan.blocked) {
+    if (decision.kind != flow::DispatchKind::kLocal ||
+        IsForwardedTo(*plan.local)) {
+      RefuseBlocked(*plan.blocked);
+      return;
+    }
+    components_->poison_guard->OnProbe(params_, plan.blocked->part);
+  }
   switch (decision.kind) {
     case flow::DispatchKind::kLocal:
       if (IsForwardedTo(*plan.local)) {
@@ -115,6 +125,19 @@
   SendFailure(503, decision.retry_after, "no_capacity");
 }
 
+void Exchange::RefuseBlocked(const flow::BlockedPart& blocked) {
+  LogCallBlocked(params_, progress_, blocked);
+  components_->metrics->CountBlockedCall();
+  if (possible_runs_ > 0) {
+    SendFailure(502, {}, "part_blocked");
+    return;
+  }
+  SendFailure(503,
+              std::clamp(std::chrono::ceil<Millis>(blocked.time_left),
+                         kNotRunRetryAfter, kMaxBlockedRetryAfter),
+              "part_blocked");
+}
+
 void Exchange::SendToUpstream(const flow::Placement& placement) {
   attempt_ = Attempt::ToUpstream(components_, placement, context_.service,
                                  params_.size, context_.traits);
@@ -412,20 +435,25 @@
       ClassifyResponse({attempt_.head.status, attempt_.peer_outcome,
                         attempt_.is_refusal, attempt_.is_unverified, IsStream(),
                         stream_started_, splitter_.has_partial()});
+  bool ends_with_connection =
+      !attempt_.head.content_length && !attempt_.head.chunked;
   if (classification.verdict != ResponseVerdict::kNotRun) {
     bool is_success =
         classification.verdict == ResponseVerdict::kForward ||
         classification.verdict == ResponseVerdict::kStreamComplete;
     attempt_.RecordResult(/*has_failed=*/!is_success, components_->loop->Now());
     // A response that ends with its connection may have been cut by a crash.
-    bool ends_with_connection =
-        !attempt_.head.content_length && !attempt_.head.chunked;
     if (is_success && !ends_with_connection &&
         attempt_.head.status / 100 == 2) {
       OnPastStart();
-    } else if (ends_with_connection && MayHaveCrashed()) {
-      components_->poison_guard->OnConnectionLost(attempt_.upstream, params_,
-                                                  {});
+    } else if (is_success && ends_with_connection && MayHaveCrashed()) {
+      PoisonGuard* guard = components_->poison_guard;
+      guard->OnConnectionLost(attempt_.upstream, params_,
+                              [guard, params = params_](bool has_crashed) {
+                                if (!has_crashed) {
+                                  guard->OnSurvival(params);
+                                }
+                              });
     }
   }
   switch (classification.verdict) {
@@ -436,6 +464,10 @@
       OnNotRun(classification.reason);
       return;
     case ResponseVerdict::kMayHaveRun:
+      if (ends_with_connection && MayHaveCrashed()) {
+        OnMayHaveCrashed(classification.reason);
+        return;
+      }
       OnMayHaveRun(classification.reason);
       return;
     case ResponseVerdict::kUpstreamError:
@@ -514,11 +546,14 @@
     components_->fleet->OnUnreachable(attempt_.peer, components_->loop->Now());
     components_->on_peer_unreachable();
   }
-  if (was_sent && client_error == net::ClientError::kConnectionClosed &&
-      MayHaveCrashed()) {
-    components_->poison_guard->OnConnectionLost(attempt_.upstream, params_, {});
-  }
+  bool may_have_crashed = was_sent &&
+                          client_error == net::ClientError::kConnectionClosed &&
+                          MayHaveCrashed();
   if (is_finished_) {
+    if (may_have_crashed) {
+      components_->poison_guard->OnConnectionLost(attempt_.upstream, params_,
+                                                  {});
+    }
     on_ended_(this);
     return;
   }
@@ -547,11 +582,38 @@
   } else {
     OnPeerFailed();
   }
+  if (may_have_crashed) {
+    OnMayHaveCrashed("connection_lost");
+    return;
+  }
   OnMayHaveRun(client_error == net::ClientError::kMalformedResponse
                    ? "answer_garbled"
                    : "connection_lost");
 }
 
+void Exchange::OnMayHaveCrashed(std::string_view reason) {
+  bool is_suspected = IsRetryable() && MayRetry() &&
+                      components_->poison_guard->IsSuspected(params_);
+  if (!is_suspected) {
+    components_->poison_guard->OnConnectionLost(attempt_.upstream, params_, {});
+    OnMayHaveRun(reason);
+    return;
+  }
+  components_->poison_guard->OnConnectionLost(
+      attempt_.upstream, params_,
+      [weak = weak_from_this(), reason = std::string(reason)](bool crashed) {
+        auto self = weak.lock();
+        if (!self || self->is_finished_) {
+          return;
+        }
+        if (crashed) {
+          self->SendFailure(502, {}, "upstream_crashed");
+          return;
+        }
+        self->OnMayHaveRun(reason);
+      });
+}
+
 bool Exchange::MayRetry() const {
   return possible_runs_ < context_.route->max_attempts &&
          TimeLeft() > kMinRetryTime;
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -64,6 +64,11 @@
   void OnFirstByte();
   /// The upstream has got past the start of its response.
   void OnPastStart();
+  /// Refuses a call with a blocked prompt part.
+  void RefuseBlocked(const flow::BlockedPart& blocked);
+  /// The upstream's response broke off. Waits for the result before it retries
+  /// a call that may crash another upstream.
+  void OnMayHaveCrashed(std::string_view reason);
   /// Whether a response that broke off may have been cut by a crash.
   bool MayHaveCrashed() const;
   void ForwardStream(std::string_view bytes);
--- a/Source/Core/Edge/poison_guard.cc
+++ b/Source/Core/Edge/poison_guard.cc
@@ -1,5 +1,7 @@
 #include "Core/Edge/poison_guard.h"
 
+#include <set>
+
 #include "Core/Common/hash.h"
 #include "Core/Edge/call_log.h"
 
@@ -16,6 +18,47 @@
                        const std::vector<LostCall>& calls,
                        Instant at) { OnCrash(upstream, calls, at); }) {}
 
+std::optional<flow::BlockedPart> PoisonGuard::FindBlocked(
+    const CallParams& params) {
+  auto blocked =
+      tracker_.FindBlocked(flow::SharedPartsOf(params.size), loop_->Now());
+  if (blocked) {
+    blocked->is_probe_due = blocked->is_probe_due && IsElected(blocked->part);
+  }
+  return blocked;
+}
+
+void PoisonGuard::OnProbe(const CallParams& params, flow::PromptPartId part) {
+  LogProbe(params.id, part);
+  tracker_.OnProbe(part, loop_->Now());
+}
+
+bool PoisonGuard::IsSuspected(const CallParams& params) const {
+  return tracker_.IsSuspected(flow::SharedPartsOf(params.size), loop_->Now());
+}
+
+bool PoisonGuard::IsElected(flow::PromptPartId part) const {
+  const flow::InstanceRecord& self = fleet_->self();
+  if (self.is_draining) {
+    return false;
+  }
+  std::set<RegionId> regions{self.region};
+  for (const flow::InstanceRecord& record : fleet_->OtherInstances()) {
+    regions.insert(record.region);
+  }
+  uint64_t own = Hash64(self.id.value(), part.value());
+  for (const RegionId& region : regions) {
+    for (const flow::InstanceRecord& record :
+         fleet_->LiveInstances(region, loop_->Now())) {
+      if (!record.is_draining &&
+          Hash64(record.id.value(), part.value()) > own) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void PoisonGuard::OnSurvival(const CallParams& params) {
   if (params.size.IsModelCall()) {
     tracker_.OnSurvival(flow::SharedPartsOf(params.size), loop_->Now());
--- a/Source/Core/Edge/poison_guard.h
+++ b/Source/Core/Edge/poison_guard.h
@@ -19,12 +19,21 @@
               const flow::UpstreamRegistry* registry,
               const flow::FleetView* fleet, EdgeMetrics* metrics);
 
+  /// The blocked part of a call, if it has one. A probe is due only at the
+  /// instance of the fleet that is elected for the part.
+  std::optional<flow::BlockedPart> FindBlocked(const CallParams& params);
+  /// Records that a call is sent as the probe of its blocked part.
+  void OnProbe(const CallParams& params, flow::PromptPartId part);
+  /// Whether another attempt of the call might crash one more upstream.
+  bool IsSuspected(const CallParams& params) const;
   /// Records that a call got past its first events.
   void OnSurvival(const CallParams& params);
   /// A call's connection to an upstream broke before that. `done`, if set, is
   /// called from the loop, with whether the upstream crashed.
   void OnConnectionLost(const flow::UpstreamRegistry::Ptr& upstream,
                         const CallParams& params, CrashDetector::DoneFn done);
+  /// Number of prompt parts that are blocked.
+  size_t blocked_parts() const { return tracker_.blocked_parts(); }
   /// What the next heartbeat tells the other instances.
   flow::PoisonReport MakeReport();
   /// Applies what another instance's heartbeat tells.
@@ -35,6 +44,8 @@
                const std::vector<LostCall>& calls, Instant at);
   /// Logs the parts that were blocked or cleared since the last call.
   void LogChanges();
+  /// Whether this instance is the one that sends probes of the part.
+  bool IsElected(flow::PromptPartId part) const;
 
   net::EventLoop* loop_;
   const flow::FleetView* fleet_;
--- a/Source/Fakes/fake_dialect.cc
+++ b/Source/Fakes/fake_dialect.cc
@@ -1,5 +1,7 @@
 #include "Fakes/fake_dialect.h"
 
+#include <sstream>
+
 namespace basilvalve::edge {
 
 Result<CallParams> FakeDialect::ParseCallHead(
@@ -19,6 +21,17 @@
     params.size.tokens_out = 10;
     params.size.parts = {{1, params.size.tokens_in}};
   }
+  if (const std::string* text = head.Find("Parts")) {
+    // Ids of prompt parts, separated by spaces.
+    std::istringstream ids(*text);
+    params.size.parts.clear();
+    for (uint64_t id = 0; ids >> id;) {
+      params.size.parts.push_back({id, 100});
+    }
+    params.size.tokens_in =
+        static_cast<uint32_t>(100 * params.size.parts.size());
+    params.size.tokens_out = 10;
+  }
   if (const std::string* text = head.Find("Resume-After")) {
     params.resume_after = std::stoll(*text);
   }
--- a/Source/UnitTests/Core/Edge/edge_fixture.cc
+++ b/Source/UnitTests/Core/Edge/edge_fixture.cc
@@ -31,7 +31,8 @@
 
 ScriptedUpstream::ScriptedUpstream(net::EventLoop* loop, std::string id,
                                    Script script)
-    : id_(std::move(id)),
+    : loop_(loop),
+      id_(std::move(id)),
       script_(std::move(script)),
       server_(loop, [this](const net::ServerConnection::Ptr& caller,
                            const net::ServerRequest& request) {
@@ -40,6 +41,11 @@
         script_(caller, request);
       }) {}
 
+void ScriptedUpstream::Crash() {
+  has_crashed_ = true;
+  loop_->Post([this] { server_.Stop(); });
+}
+
 flow::UpstreamRecord ScriptedUpstream::Record(
     const ServiceName& service) const {
   flow::UpstreamRecord record;
@@ -185,4 +191,8 @@
   return loop.RunUntil(done, kWaitTimeout);
 }
 
+void EdgeFixture::RunFor(Millis time) {
+  loop.RunUntil([] { return false; }, time);
+}
+
 }  // namespace basilvalve::edge
--- a/Source/UnitTests/Core/Edge/edge_fixture.h
+++ b/Source/UnitTests/Core/Edge/edge_fixture.h
@@ -20,6 +20,10 @@
 
   flow::UpstreamRecord Record(const ServiceName& service) const;
   const std::vector<net::ServerRequest>& requests() const { return requests_; }
+  /// Ends the upstream like a crash of its process, once the current callback
+  /// has returned.
+  void Crash();
+  bool has_crashed() const { return has_crashed_; }
   /// Number of connections closed by the client during a request.
   int disconnects() const { return disconnects_; }
   /// A complete response to a request.
@@ -31,8 +35,10 @@
   static std::string Chunk(const std::string& data);
 
  private:
+  net::EventLoop* loop_;
   std::string id_;
   Script script_;
+  bool has_crashed_ = false;
   std::vector<net::ServerRequest> requests_;
   int disconnects_ = 0;
   net::TestServer server_;
@@ -80,6 +86,8 @@
   /// forwards calls.
   std::unique_ptr<EdgeNode> AddPeerInstance(const std::string& id,
                                             const std::string& region);
+  /// Runs the loop for a time.
+  void RunFor(Millis time);
 
   net::EventLoop loop;
   FakeDialect dialect;
--- a/Source/UnitTests/Core/Net/test_server.cc
+++ b/Source/UnitTests/Core/Net/test_server.cc
@@ -16,6 +16,14 @@
       });
   REQUIRE(listener);
   listener_ = std::move(*listener);
+  endpoint_ = listener_->LocalEndpoint();
+}
+
+void TestServer::Stop() {
+  listener_ = nullptr;
+  for (const ServerConnection::Ptr& connection : connections_) {
+    connection->Disconnect();
+  }
 }
 
 }  // namespace basilvalve::net
--- a/Source/UnitTests/Core/Net/test_server.h
+++ b/Source/UnitTests/Core/Net/test_server.h
@@ -14,11 +14,14 @@
   TestServer(EventLoop* loop,
              const ServerConnection::RequestHandler& on_request);
 
-  Endpoint endpoint() const { return listener_->LocalEndpoint(); }
+  Endpoint endpoint() const { return endpoint_; }
+  /// Closes all connections and stops listening, as the end of a process does.
+  void Stop();
 
  private:
   std::vector<ServerConnection::Ptr> connections_;
   std::unique_ptr<Listener> listener_;
+  Endpoint endpoint_;
 };
 
 }  // namespace basilvalve::net
