--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -8,6 +8,7 @@
 #include "Core/Edge/connection_pool.h"
 #include "Core/Edge/edge_metrics.h"
 #include "Core/Edge/notice_recorder.h"
+#include "Core/Edge/poison_guard.h"
 #include "Core/Flow/cold_start_limiter.h"
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
@@ -29,6 +30,7 @@
   ConnectionPool* upstream_pool = nullptr;
   ConnectionPool* peer_pool = nullptr;
   NoticeRecorder* notices = nullptr;
+  PoisonGuard* poison_guard = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
   /// Called after a peer instance was excluded.
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -26,6 +26,10 @@
   /// ("away").
   void CountSend(std::string_view where);
   void CountRetry(std::string_view reason);
+  /// Counts an upstream that crashed under calls of this instance.
+  void CountUpstreamCrash();
+  /// Counts a call that was refused because of a blocked prompt part.
+  void CountBlockedCall();
   void CountStoreCall(std::string_view kind, int status);
   void CountCrossRegionBytes(uint64_t bytes);
   /// Counts a change of what is known of an upstream's willingness: `change` is
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -63,6 +63,7 @@
       peer_pool_(loop, settings_.peer_connections),
       notices_(&registry_, &metrics_,
                [this](const UpstreamId& id) { WithdrawUnsent(id); }),
+      poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_),
       connections_(
           loop, &metrics_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
@@ -86,6 +87,7 @@
   components_.upstream_pool = &upstream_pool_;
   components_.peer_pool = &peer_pool_;
   components_.notices = &notices_;
+  components_.poison_guard = &poison_guard_;
   components_.metrics = &metrics_;
   components_.random = &random_;
   components_.region_round_trip = settings_.region_round_trip;
@@ -344,6 +346,7 @@
   if (!fleet_.OnHeartbeat(*heartbeat, loop_->Now())) {
     return;
   }
+  poison_guard_.OnReport(heartbeat->poison);
   if (heartbeat->from.region != settings_.self.region) {
     if (heartbeat->is_for_relay &&
         relayed_heartbeats_.size() < kMaxRelayedHeartbeats) {
@@ -354,8 +357,9 @@
   for (const std::string& relayed : heartbeat->relayed) {
     auto inner = DecodeHeartbeat(relayed);
     // Only a heartbeat of another region is relayed.
-    if (inner && inner->from.region != settings_.self.region) {
-      fleet_.OnHeartbeat(*inner, loop_->Now());
+    if (inner && inner->from.region != settings_.self.region &&
+        fleet_.OnHeartbeat(*inner, loop_->Now())) {
+      poison_guard_.OnReport(inner->poison);
     }
   }
   if (heartbeat->state_version > region_state_version_) {
@@ -416,6 +420,7 @@
   heartbeat.from = fleet_.self();
   heartbeat.sequence = ++heartbeat_sequence_;
   heartbeat.state_version = state_ ? state_->version() : 0;
+  heartbeat.poison = poison_guard_.MakeReport();
   if (is_for_region) {
     heartbeat.cache_updates = registry_.TakeCacheUpdates();
     if (dispatchers_.is_exclusive()) {
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Core/Flow/placement.h"
+#include "Core/Flow/poison_tracker.h"
 
 namespace basilvalve::flow {
 
@@ -93,6 +94,8 @@
   bool is_for_relay = false;
   /// Upstreams that said they are leaving; sent only within the region.
   std::vector<LeavingReport> leaving;
+  /// Prompt parts that crash upstreams.
+  PoisonReport poison;
 };
 
 /// Capacity of another region, from the most recent heartbeat of its instances.
