Load forwarded to an owner does not outlast the ownership

What happened: an upstream went on counting as loaded by calls that had ended, at an instance that had forwarded them to the upstream's owner. Cause: the load is counted until the owner's next report. When the region shrank below the size at which upstreams have owners, or the instance became the owner itself, no report came. Change: each time the roles are assigned, the load is cleared for upstreams that no other instance owns. Evidence: the test failed before for the rows "owned by this instance" and "owned by none".

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -474,6 +474,7 @@
     }
   }
   fleet_.SetExpectedSenders(senders, now);
+  ClearForwardedLoad();
   if (dispatchers_.IsMember() != was_member && dispatchers_.is_exclusive()) {
     LogEvent(LogLevel::kInfo, "heartbeat", "dispatcher_role_changed")
         .With("is_dispatcher", dispatchers_.IsMember() ? "yes" : "no")
@@ -482,6 +483,16 @@
   }
 }
 
+void EdgeNode::ClearForwardedLoad() {
+  for (const auto& [id, upstream] : registry_.all()) {
+    bool is_reported =
+        dispatchers_.is_exclusive() && !dispatchers_.Owns(upstream->record);
+    if (!is_reported) {
+      upstream->forwarded_load = flow::LoadShare();
+    }
+  }
+}
+
 void EdgeNode::SendHeartbeats() {
   UpdateDispatchers();
   std::vector<flow::InstanceRecord> others = fleet_.OtherInstances();
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -113,6 +113,9 @@
                      const net::ServerRequest& request, int status,
                      std::string_view reason);
   void OnDatagram(std::string_view bytes);
+  /// Forgets the load forwarded to upstreams that no other instance owns: no
+  /// report would clear it.
+  void ClearForwardedLoad();
   void SendHeartbeats();
   void SendRegionHeartbeats(const std::vector<flow::InstanceRecord>& others);
   void SendRemoteHeartbeats(const std::vector<flow::InstanceRecord>& others);
--- a/Source/UnitTests/Core/Edge/owner_test.cc
+++ b/Source/UnitTests/Core/Edge/owner_test.cc
@@ -1,5 +1,6 @@
 // Calls that an instance gets as the owner of an upstream, and responses that
 // never end.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "Core/Edge/hop_header.h"
@@ -109,6 +110,59 @@
   CHECK(upstream.requests().size() == (is_served ? 1 : 0));
 }
 
+std::vector<flow::InstanceRecord> FarMembers(const std::string& prefix) {
+  // More instances than send to upstreams directly.
+  constexpr int kInstances = 40;
+  std::vector<flow::InstanceRecord> members;
+  for (int i = 0; i < kInstances; ++i) {
+    flow::InstanceRecord record;
+    record.id = InstanceId(prefix + std::to_string(i));
+    record.data_centre = flow::DataCentreId("far");
+    record.region = RegionId("north");
+    record.peer_address = "127.0.0.1:1";
+    record.incarnation = 1;
+    members.push_back(record);
+  }
+  return members;
+}
+
+// Guards against an upstream that counts as loaded for ever.
+TEST_CASE("load forwarded to an owner does not outlast the ownership") {
+  struct Row {
+    const char* name;
+    bool is_large;
+    bool is_own;
+    bool is_kept;
+  };
+  for (const Row& row : {Row{"owned by another one", true, false, true},
+                         Row{"owned by this instance", true, true, false},
+                         Row{"owned by none", false, false, false}}) {
+    INFO(row.name);
+    EdgeFixture fixture("north", net::TimeSource::kVirtual);
+    fixture.ApplyDesiredState();
+    fixture.AddUpstream("u1", StreamOk);
+    std::vector<flow::InstanceRecord> members;
+    // Looks for names by which this instance is a dispatcher, or is not.
+    for (int i = 0; row.is_large; ++i) {
+      members = FarMembers("member-" + std::to_string(i) + "-");
+      auto all = members;
+      all.push_back(fixture.node->fleet().self());
+      auto selected = flow::DispatcherSet::Select(all);
+      bool is_own = std::find(selected.begin(), selected.end(), all.back()) !=
+                    selected.end();
+      if (is_own == row.is_own) {
+        break;
+      }
+    }
+    auto upstream = fixture.node->registry().Find(UpstreamId("u1"));
+    upstream->forwarded_load.Add({1, 2, 3});
+    fixture.node->fleet().ReplaceAll(members, fixture.loop.Now());
+    fixture.node->UpdateDispatchers();
+    CHECK((upstream->forwarded_load.running > 0) == row.is_kept);
+    CHECK((upstream->forwarded_load.reserved_tokens > 0) == row.is_kept);
+  }
+}
+
 // What an upstream sends again and again until its connection is closed.
 struct EndlessResponse {
   const char* name;
