--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -86,6 +86,10 @@
   /// flight finish, then calls `done`, at the latest when the grace period
   /// ends.
   void BeginDrain(std::function<void()> done);
+  /// Number of calls whose response is not complete. Not thread safe.
+  size_t calls_in_flight() const { return exchanges_.size(); }
+  /// Bytes of responses that no socket has taken yet. Not thread safe.
+  size_t unwritten_bytes() const { return connections_.UnwrittenBytes(); }
   /// The bound addresses, with the actual ports.
   net::Endpoint public_endpoint() const {
     return public_listener_->LocalEndpoint();
--- a/Source/UnitTests/Core/Edge/edge_fixture.cc
+++ b/Source/UnitTests/Core/Edge/edge_fixture.cc
@@ -30,22 +30,25 @@
 }  // namespace
 
 ScriptedUpstream::ScriptedUpstream(net::EventLoop* loop, std::string id,
-                                   Script script)
+                                   Script script, const std::string& host)
     : id_(std::move(id)),
       script_(std::move(script)),
-      server_(loop, [this](const net::ServerConnection::Ptr& caller,
-                           const net::ServerRequest& request) {
-        caller->SetDisconnectHandler([this] { ++disconnects_; });
-        requests_.push_back(request);
-        script_(caller, request);
-      }) {}
+      server_(
+          loop,
+          [this](const net::ServerConnection::Ptr& caller,
+                 const net::ServerRequest& request) {
+            caller->SetDisconnectHandler([this] { ++disconnects_; });
+            requests_.push_back(request);
+            script_(caller, request);
+          },
+          host) {}
 
 flow::UpstreamRecord ScriptedUpstream::Record(
     const ServiceName& service) const {
   flow::UpstreamRecord record;
   record.id = UpstreamId(id_);
   record.service = service;
-  record.host = "127.0.0.1";
+  record.host = server_.endpoint().host;
   record.port = server_.endpoint().port;
   record.data_centre = flow::DataCentreId("zone");
   record.region = RegionId("north");
--- a/Source/UnitTests/Core/Edge/edge_fixture.h
+++ b/Source/UnitTests/Core/Edge/edge_fixture.h
@@ -16,7 +16,8 @@
  public:
   using Script = std::function<void(const net::ServerConnection::Ptr&,
                                     const net::ServerRequest&)>;
-  ScriptedUpstream(net::EventLoop* loop, std::string id, Script script);
+  ScriptedUpstream(net::EventLoop* loop, std::string id, Script script,
+                   const std::string& host = "127.0.0.1");
 
   flow::UpstreamRecord Record(const ServiceName& service) const;
   const std::vector<net::ServerRequest>& requests() const { return requests_; }
--- a/Source/UnitTests/Core/Net/test_server.cc
+++ b/Source/UnitTests/Core/Net/test_server.cc
@@ -5,9 +5,10 @@
 namespace basilvalve::net {
 
 TestServer::TestServer(EventLoop* loop,
-                       const ServerConnection::RequestHandler& on_request) {
+                       const ServerConnection::RequestHandler& on_request,
+                       const std::string& host) {
   auto listener = Listener::Create(
-      loop, {"127.0.0.1", 0}, Millis(2000),
+      loop, {host, 0}, Millis(2000),
       [this, loop, on_request](std::unique_ptr<Socket> socket) {
         connections_.push_back(std::make_shared<ServerConnection>(
             loop, std::move(socket), ServerLimits(), on_request,
--- a/Source/UnitTests/Core/Net/test_server.h
+++ b/Source/UnitTests/Core/Net/test_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "Core/Net/server_connection.h"
@@ -12,7 +13,8 @@
 class TestServer {
  public:
   TestServer(EventLoop* loop,
-             const ServerConnection::RequestHandler& on_request);
+             const ServerConnection::RequestHandler& on_request,
+             const std::string& host = "127.0.0.1");
 
   Endpoint endpoint() const { return listener_->LocalEndpoint(); }
 
