LOST: a drain discards no request behind an unwritten answer

What callers saw: a connection that had been promised to stay open closed behind the answer when a stop began meanwhile, and a request sent right behind it was read and thrown away. Cause: EndResponse closed after the write once a close was wanted, whatever the response's head had promised; CloseWhenIdle did the same while an answer was being written. Change: a connection closes after its response if the response says so; otherwise it waits 0.1 s for a request behind the answer, which is then the last one and says so. A stream remembers what its head promised. Conclusion: a request that crosses the close after that stays unread.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -455,8 +455,9 @@
 
 void Exchange::StartStream(const net::MessageHead& head) {
   stream_started_ = true;
+  stream_keeps_alive_ = KeepsAlive();
   caller_->Write(SerializeChunkedHead(head, *components_->dialect, HopLines(),
-                                      KeepsAlive()));
+                                      stream_keeps_alive_));
 }
 
 void Exchange::OnDone() {
@@ -549,7 +550,7 @@
       static_cast<double>(splitter_.events()) *
           std::max(1U, context_.traits.tokens_per_event));
   WriteChunk("");
-  caller_->EndResponse(request_.head.keep_alive);
+  caller_->EndResponse(stream_keeps_alive_);
   Finish("done", attempt_.head.status, "streamed");
 }
 
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -154,6 +154,8 @@
   /// When the silence timer is due.
   Instant silence_due_;
   bool stream_started_ = false;
+  /// Whether the head of the started stream promised to keep the connection.
+  bool stream_keeps_alive_ = false;
   uint64_t stream_bytes_ = 0;
   bool is_finished_ = false;
 };
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -1,5 +1,7 @@
 #include "Core/Net/server_connection.h"
 
+#include <algorithm>
+
 namespace basilvalve::net {
 namespace {
 
@@ -11,6 +13,8 @@
 // How long the peer may take to close after us: a round trip between regions
 // with one lost packet.
 constexpr Millis kLingerTimeout{1000};
+// How long a connection that closes waits for a request behind its response.
+constexpr Millis kClosingIdleTime{100};
 
 }  // namespace
 
@@ -36,7 +40,12 @@
 }
 
 void ServerConnection::StartIdleTimer() {
-  timer_.Set(limits_.idle_timeout, [this] {
+  // A caller that was promised the connection may send its next request while
+  // it learns of the close.
+  Millis time = close_when_idle_
+                    ? std::min(kClosingIdleTime, limits_.idle_timeout)
+                    : limits_.idle_timeout;
+  timer_.Set(time, [this] {
     if (IsIdle()) {
       CloseIdle();
     }
@@ -244,7 +253,7 @@
   if (terminated_) {
     return;
   }
-  if (!keep_alive || close_when_idle_) {
+  if (!keep_alive) {
     close_after_write_ = true;
     if (write_buffer_.empty()) {
       CloseGracefully();
@@ -279,8 +288,6 @@
   close_when_idle_ = true;
   if (IsIdle()) {
     CloseIdle();
-  } else if (!busy()) {
-    close_after_write_ = true;
   }
 }
 
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -72,9 +72,9 @@
   /// Writes bytes of the current response, including its head and framing. Not
   /// thread safe.
   void Write(std::string_view bytes);
-  /// Completes the current response. Reads the next request or, without
-  /// `keep_alive`, closes the connection once everything is written. Not thread
-  /// safe.
+  /// Completes the current response. Reads the next request or, if the response
+  /// did not promise `keep_alive`, closes the connection once everything is
+  /// written. Not thread safe.
   void EndResponse(bool keep_alive);
   /// Closes the connection after the buffered bytes, leaving the current
   /// response incomplete. Not thread safe.
