LOST: an owner keeps a silent call that has no other place

What callers saw: 502 after 0.65 s, although the upstream was sound and the call could be sent nowhere else. Conclusion: an estimate by the owner's own budget and view of the region.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -832,7 +832,7 @@
   }
   progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   if (context_.can_sender_retry) {
-    if (stream_started_ && !MaySenderResume()) {
+    if (!MaySenderResume()) {
       return;
     }
     CancelAttempt();
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -95,7 +95,7 @@
   /// Takes one retry from the fleet's budget; false if it is used up.
   bool ConsumeRetry(std::string_view reason);
   bool TryRetry(std::string_view reason);
-  /// For a forwarded call: whether the sender can probably resume the stream
+  /// For a forwarded call: whether the sender can probably send it
   /// elsewhere, judged by what this instance knows of budget and upstreams.
   bool MaySenderResume();
   void SendFailure(int status, Millis retry_after, std::string_view reason);
