--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -125,6 +125,14 @@
     }
   }
   int fd() const { return fd_; }
+  /// Makes the end of this channel a reset, at once for the other side.
+  void Reset() {
+    linger now{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    is_reset_ = true;
+    shutdown(fd_, SHUT_RD);
+  }
+  bool is_reset() const { return is_reset_; }
 
   /// Writes all bytes; false if the channel broke or nothing moved for long.
   bool Write(const std::string& bytes, int timeout_ms = 5000) {
@@ -289,6 +297,7 @@
   }
 
   int fd_;
+  std::atomic<bool> is_reset_{false};
   std::string buffer_;
 };
 
@@ -321,6 +330,10 @@
           }
           return;
         }
+        if (is_closed_) {
+          close(fd);
+          return;
+        }
         std::thread([this, fd] {
           Channel channel(fd);
           handler_(channel);
@@ -329,11 +342,18 @@
     }).detach();
     return true;
   }
+  /// Stops listening, so that new channels are refused.
+  void Stop() {
+    is_closed_ = true;
+    shutdown(fd_, SHUT_RDWR);
+    close(fd_);
+  }
   int port() const { return port_; }
 
  private:
   int fd_ = -1;
   int port_ = 0;
+  std::atomic<bool> is_closed_{false};
   Handler handler_;
 };
 
