LOST: a pause of a sound upstream beside each change is walked

The walk of moments and events played pauses and changes together only in a sample of pairs. Change: each moment of a request with each change of the desired state before or behind a pause of 1.2 s, and with no other upstream left, on one instance, two regions and an owner.

--- a/Source/UnitTests/Core/Edge/loss_walk_oracle.cc
+++ b/Source/UnitTests/Core/Edge/loss_walk_oracle.cc
@@ -104,8 +104,14 @@
 
 PermittedEnds EndsPermittedTo(const WalkCase& walk) {
   PermittedEnds ends;
+  bool is_idle_limit_lower = false;
   for (Event event : walk.events) {
     ends.Add(PermittedBy(event, walk.moment));
+    is_idle_limit_lower =
+        is_idle_limit_lower || event == Event::kIdleLimitLowered;
+    // The lower limit passes on a connection that nothing was sent on.
+    ends.unread = ends.unread || (event == Event::kSilence &&
+                                  is_idle_limit_lower && IsUnsent(walk.moment));
   }
   return ends;
 }
--- a/Source/UnitTests/Core/Edge/loss_walk_test.cc
+++ b/Source/UnitTests/Core/Edge/loss_walk_test.cc
@@ -17,6 +17,12 @@
 constexpr std::array kTopologies = {Topology::kAlone, Topology::kRegion,
                                     Topology::kOwner};
 
+// Changes of the desired state.
+constexpr std::array kChanges = {
+    Event::kNewVersion,   Event::kTimeoutLowered,  Event::kRouteRemoved,
+    Event::kServiceMoved, Event::kIdleLimitRaised, Event::kIdleLimitLowered,
+    Event::kSizesLowered};
+
 // An owner has reported its upstream's silence to the instance that sent it the
 // call.
 bool IsSilentBehindOwner(const WalkCase& walk) {
@@ -162,6 +168,31 @@
   PlayAll(walks);
 }
 
+// Guards against LOST: a pause of a sound upstream beside a change of the
+// desired state ends a request without an answer.
+TEST_CASE("a request ends as promised whatever happens: a pause and a change") {
+  std::vector<WalkCase> walks;
+  for (Topology topology : kTopologies) {
+    for (const WalkCase& silent : SingleEvents(topology)) {
+      if (silent.events[0] != Event::kSilence) {
+        continue;
+      }
+      for (Event change : kChanges) {
+        for (std::vector<Event> events :
+             {std::vector{Event::kSilence, change},
+              std::vector{change, Event::kSilence},
+              std::vector{Event::kOtherUpstreamRemoved, change,
+                          Event::kSilence}}) {
+          WalkCase walk = silent;
+          walk.events = std::move(events);
+          walks.push_back(std::move(walk));
+        }
+      }
+    }
+  }
+  PlayAll(walks);
+}
+
 // Guards against LOST: an owner gives up a silent upstream although the sender
 // of the call has no other place for it.
 TEST_CASE("a silent upstream of an owner is given up only for another one") {
