BUDGET: a call with unproven parts is not sent on after a crash

Cause: a call whose upstream crashed was sent again at once unless a call with its last part had been lost earlier; that nothing was known of its parts counted as good. Change: the crash is verified first unless calls with each shared part have survived and nothing crashed under one since; if the upstream crashed, the caller gets 502. What a second send wins: calls of upstreams that crash by themselves. Their parts are proven, but for rare ones, which their callers send again. What it loses: one more upstream with all of its calls for each deadly call.

--- a/Source/Core/Edge/poison_guard.cc
+++ b/Source/Core/Edge/poison_guard.cc
@@ -34,7 +34,9 @@
 }
 
 bool PoisonGuard::IsSuspected(const CallParams& params) const {
-  return tracker_.IsSuspected(flow::SharedPartsOf(params.size), loop_->Now());
+  std::vector<flow::PromptPartId> parts = flow::SharedPartsOf(params.size);
+  return !tracker_.AreProven(parts) ||
+         tracker_.IsSuspected(parts, loop_->Now());
 }
 
 bool PoisonGuard::IsElected(flow::PromptPartId part) const {
--- a/Source/Core/Edge/poison_guard.h
+++ b/Source/Core/Edge/poison_guard.h
@@ -24,7 +24,8 @@
   std::optional<flow::BlockedPart> FindBlocked(const CallParams& params);
   /// Records that a call is sent as the probe of its blocked part.
   void OnProbe(const CallParams& params, flow::PromptPartId part);
-  /// Whether another attempt of the call might crash one more upstream.
+  /// Whether another attempt of the call might crash one more upstream, if the
+  /// last one has crashed under it.
   bool IsSuspected(const CallParams& params) const;
   /// Records that a call got past its first events.
   void OnSurvival(const CallParams& params);
--- a/Source/Core/Flow/poison_tracker.cc
+++ b/Source/Core/Flow/poison_tracker.cc
@@ -397,6 +397,12 @@
   return false;
 }
 
+bool PoisonTracker::AreProven(const std::vector<PromptPartId>& parts) const {
+  return std::all_of(parts.begin(), parts.end(), [&](PromptPartId part) {
+    return survivals_.contains(part) && EvidenceOf(part).events == 0;
+  });
+}
+
 void PoisonTracker::OnReport(const PoisonReport& report, Instant now) {
   for (const PartVerdict& verdict : report.verdicts) {
     ApplyVerdict(verdict, now);
--- a/Source/Core/Flow/poison_tracker.h
+++ b/Source/Core/Flow/poison_tracker.h
@@ -106,6 +106,9 @@
   /// Whether a call of this kind was lost in an earlier crash and none has
   /// survived since, so that one more attempt might crash another upstream.
   bool IsSuspected(const std::vector<PromptPartId>& parts, Instant now) const;
+  /// Whether calls with each of these parts have survived, and no upstream
+  /// has crashed under one of them since.
+  bool AreProven(const std::vector<PromptPartId>& parts) const;
   /// The evidence against a part.
   PartEvidence EvidenceOf(PromptPartId part) const;
   /// Parts that were blocked or cleared since the last call, for the log.
--- a/Source/UnitTests/Core/Edge/poison_test.cc
+++ b/Source/UnitTests/Core/Edge/poison_test.cc
@@ -36,7 +36,7 @@
       fixture_.AddUpstream(
           "u" + std::to_string(i),
           [this, failure, i](const Caller& to, const Request& request) {
-            if (!IsDeadly(request)) {
+            if (!IsDeadly(request) && !std::exchange(crashes_next_, false)) {
               to->Write(
                   Upstream::StreamHead(request) +
                   Upstream::Chunk("id: 1\ndata: x\n\nid: 2\ndata: x\n\n") +
@@ -97,11 +97,14 @@
         [](const auto& upstream) { return upstream->has_crashed(); }));
   }
   EdgeFixture& fixture() { return fixture_; }
+  // The upstream that gets the next call crashes, whatever the call holds.
+  void CrashOnNextCall() { crashes_next_ = true; }
   void SendTo(net::Endpoint* to) { to_ = to; }
 
  private:
   EdgeFixture fixture_;
   int calls_ = 0;
+  bool crashes_next_ = false;
   net::Endpoint* to_ = nullptr;
 };
 
@@ -120,6 +123,22 @@
   CHECK(poisoned.Call(kSound, "/stream/").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against BUDGET: each call with a new deadly part crashes two upstreams.
+TEST_CASE("a call with a part that no call has survived crashes one upstream") {
+  Poisoned poisoned(Failure::kCrash, 4);
+  CHECK(poisoned.Call(kDeadly).starts_with("HTTP/1.1 502"));
+  CHECK(poisoned.crashed() == 1);
+}
+
+// Guards against lost calls: an upstream that crashes by itself ends them.
+TEST_CASE("a call with proven parts is sent again when its upstream crashes") {
+  Poisoned poisoned(Failure::kCrash, 4);
+  REQUIRE(poisoned.Call(kSound).starts_with("HTTP/1.1 200"));
+  poisoned.CrashOnNextCall();
+  CHECK(poisoned.Call(kSound).starts_with("HTTP/1.1 200"));
+  CHECK(poisoned.crashed() == 1);
+}
+
 // Guards against LOST: sound calls are refused because connections are reset.
 TEST_CASE("resets and drained upstreams block no prompt part") {
   for (Failure failure : {Failure::kReset, Failure::kDrainedCrash}) {
