LOST: an upstream that crashes under new ids is one upstream to the evidence

Callers could see: calls with a sound prompt part refused for a minute, since the upstream that affinity sends them to crashes by itself again and again. Cause: evidence at one upstream needs six events instead of three, but upstreams were told apart by their ids, and a restarted one mostly has a new id. Change: crashes are told apart by the address of the upstream. Measured: "an upstream that restarts under new ids blocks its parts later" fails when the site is taken from the id (three events block), passes with it. Evidence that lasts would have made this more likely.

--- a/Source/Core/Edge/poison_guard.cc
+++ b/Source/Core/Edge/poison_guard.cc
@@ -1,9 +1,8 @@
-#include "Core/Edge/poison_guard.h"
-
 #include <set>
 
 #include "Core/Common/hash.h"
 #include "Core/Edge/call_log.h"
+#include "Core/Edge/poison_guard.h"
 
 namespace basilvalve::edge {
 
@@ -99,7 +98,7 @@
   ++crashes_;
   const flow::InstanceRecord& self = fleet_->self();
   flow::CrashId crash(Hash64(self.id.value(), self.incarnation + crashes_));
-  tracker_.OnCrash(crash, flow::ShortIdOf(upstream.record.id), parts, at);
+  tracker_.OnCrash(crash, flow::CrashSiteOf(upstream.record), parts, at);
   LogChanges();
 }
 
--- a/Source/Core/Flow/poison_tracker.cc
+++ b/Source/Core/Flow/poison_tracker.cc
@@ -46,6 +46,11 @@
 
 }  // namespace
 
+UpstreamShortId CrashSiteOf(const UpstreamRecord& upstream) {
+  return ShortIdOf(
+      UpstreamId(upstream.host + ":" + std::to_string(upstream.port)));
+}
+
 std::vector<PromptPartId> SharedPartsOf(const CallSize& size) {
   std::vector<PromptPartId> parts;
   size_t n = size.parts.empty() ? 0 : size.parts.size() - 1;
--- a/Source/Core/Flow/poison_tracker.h
+++ b/Source/Core/Flow/poison_tracker.h
@@ -17,6 +17,10 @@
 /// Identifies one crash of one upstream, as seen by one instance.
 using CrashId = StrongNumber<struct CrashIdTag>;
 
+/// Identifies an upstream in reports of crashes by its address, since it has
+/// another id after a crash. Thread safe.
+UpstreamShortId CrashSiteOf(const UpstreamRecord& upstream);
+
 /// Ids of the parts that other calls may share: all but the last, at most four
 /// of them, the last of these. Thread safe.
 std::vector<PromptPartId> SharedPartsOf(const CallSize& size);
@@ -24,6 +28,7 @@
 /// A call that had not got past its first events when its upstream crashed.
 struct CrashedCall {
   CrashId crash;
+  /// Its crash site.
   UpstreamShortId upstream;
   /// Time since the crash.
   Micros age{0};
@@ -86,8 +91,8 @@
 /// weakest evidence is forgotten first. Not thread safe.
 class PoisonTracker {
  public:
-  /// Records that an upstream crashed while these calls, given by their shared
-  /// parts, had not got past their first events.
+  /// Records that an upstream, given by its crash site, crashed while these
+  /// calls, given by their shared parts, had not got past their first events.
   void OnCrash(CrashId crash, UpstreamShortId upstream,
                const std::vector<std::vector<PromptPartId>>& calls, Instant at);
   /// Records that a call with these shared parts got past its first events.
--- a/Source/UnitTests/Core/Flow/poison_tracker_test.cc
+++ b/Source/UnitTests/Core/Flow/poison_tracker_test.cc
@@ -139,6 +139,26 @@
   CHECK(tracker.FindBlocked({Part(2)}, now));
 }
 
+// Guards against LOST: an upstream with a new id after each crash looks like
+// several, so that a sound part that affinity sends there is blocked.
+TEST_CASE("an upstream that restarts under new ids blocks its parts later") {
+  Instant now = kStart;
+  PoisonTracker tracker;
+  UpstreamRecord upstream;
+  upstream.host = "10.0.0.1";
+  upstream.port = 8000;
+  for (uint64_t i = 1; i <= 5; ++i, now += Seconds(4)) {
+    upstream.id = UpstreamId("u" + std::to_string(i));
+    tracker.OnCrash(CrashId(i), CrashSiteOf(upstream), {{Part(1), Part(2)}},
+                    now);
+  }
+  BeginOthers(&tracker, now);
+  CHECK_FALSE(tracker.FindBlocked({Part(2)}, now));
+  upstream.port = 8001;
+  tracker.OnCrash(CrashId(6), CrashSiteOf(upstream), {{Part(1), Part(2)}}, now);
+  CHECK(tracker.FindBlocked({Part(2)}, now));
+}
+
 TEST_CASE("a shared first part is not blamed for the parts that follow it") {
   Instant now = kStart;
   PoisonTracker tracker;
