BUDGET: calls that wait at an upstream are withdrawn as their part is blocked

Cause: the block was looked at when a call is sent, never again. Change: a newly blocked part ends the calls with it that wait for the first byte, with 502, and their connections, on which most upstreams drop the call. Measured: "a call that waits with a part that is blocked is withdrawn" fails without the change (the call still waits), passes with it.

--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -63,7 +63,8 @@
       peer_pool_(loop, settings_.peer_connections),
       notices_(&registry_, &metrics_,
                [this](const UpstreamId& id) { WithdrawUnsent(id); }),
-      poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_),
+      poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_,
+                    [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
       connections_(
           loop, &metrics_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
@@ -633,6 +634,19 @@
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
 }
 
+void EdgeNode::WithdrawBlocked(flow::PromptPartId part) {
+  for (const auto& [key, exchange] : exchanges_) {
+    if (exchange->IsWaitingWith(part)) {
+      // Posted, as it ends the exchange.
+      loop_->Post([weak = std::weak_ptr(exchange), part] {
+        if (auto self = weak.lock()) {
+          self->WithdrawBlocked(part);
+        }
+      });
+    }
+  }
+}
+
 void EdgeNode::WithdrawUnsent(const UpstreamId& id) {
   auto upstream = registry_.Find(id);
   if (!upstream) {
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -137,6 +137,8 @@
   void LogStall();
   void LogUnresponsiveInstances();
   void Sweep();
+  /// Gives up calls with the part that wait for an upstream's first byte.
+  void WithdrawBlocked(flow::PromptPartId part);
   /// Sends calls elsewhere that still wait for a connection to the upstream.
   void WithdrawUnsent(const UpstreamId& id);
   void CheckDrained();
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -337,6 +337,24 @@
   Dispatch();
 }
 
+bool Exchange::IsWaitingWith(flow::PromptPartId part) const {
+  if (is_finished_ || !attempt_.is_active || !attempt_.upstream ||
+      attempt_.has_first_byte) {
+    return false;
+  }
+  std::vector<flow::PromptPartId> parts = flow::SharedPartsOf(params_.size);
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+void Exchange::WithdrawBlocked(flow::PromptPartId part) {
+  if (!IsWaitingWith(part)) {
+    return;
+  }
+  auto self = shared_from_this();
+  CancelAttempt();
+  RefuseBlocked({part, Micros(0), /*is_probe_due=*/false});
+}
+
 void Exchange::OnFirstByte() {
   Instant now = components_->loop->Now();
   attempt_.has_first_byte = true;
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -38,6 +38,12 @@
   /// Places the call anew if it is still unsent to the upstream, which is not
   /// to get any more calls. Not thread safe.
   void WithdrawUnsent(const flow::Upstream& upstream);
+  /// Whether the call has this shared prompt part and waits for the first byte
+  /// of an upstream. Not thread safe.
+  bool IsWaitingWith(flow::PromptPartId part) const;
+  /// Gives up the call if it is still waiting with the part, which is blocked
+  /// now. Not thread safe.
+  void WithdrawBlocked(flow::PromptPartId part);
 
   bool OnHead(const net::MessageHead& head) override;
   void OnBody(std::string_view bytes) override;
--- a/Source/Core/Edge/poison_guard.cc
+++ b/Source/Core/Edge/poison_guard.cc
@@ -1,17 +1,20 @@
+#include "Core/Edge/poison_guard.h"
+
 #include <set>
 
 #include "Core/Common/hash.h"
 #include "Core/Edge/call_log.h"
-#include "Core/Edge/poison_guard.h"
 
 namespace basilvalve::edge {
 
 PoisonGuard::PoisonGuard(net::EventLoop* loop, ConnectionPool* upstream_pool,
                          const flow::UpstreamRegistry* registry,
-                         const flow::FleetView* fleet, EdgeMetrics* metrics)
+                         const flow::FleetView* fleet, EdgeMetrics* metrics,
+                         BlockedFn on_blocked)
     : loop_(loop),
       fleet_(fleet),
       metrics_(metrics),
+      on_blocked_(std::move(on_blocked)),
       detector_(loop, upstream_pool, registry,
                 [this](const flow::Upstream& upstream,
                        const std::vector<LostCall>& calls,
@@ -63,7 +66,7 @@
 void PoisonGuard::OnSurvival(const CallParams& params) {
   if (params.size.IsModelCall()) {
     tracker_.OnSurvival(flow::SharedPartsOf(params.size), loop_->Now());
-    LogChanges();
+    PublishChanges();
   }
 }
 
@@ -76,14 +79,14 @@
 
 flow::PoisonReport PoisonGuard::MakeReport() {
   flow::PoisonReport report = tracker_.MakeReport(loop_->Now());
-  LogChanges();
+  PublishChanges();
   return report;
 }
 
 void PoisonGuard::OnReport(const flow::PoisonReport& report) {
   if (!report.empty()) {
     tracker_.OnReport(report, loop_->Now());
-    LogChanges();
+    PublishChanges();
   }
 }
 
@@ -99,12 +102,15 @@
   const flow::InstanceRecord& self = fleet_->self();
   flow::CrashId crash(Hash64(self.id.value(), self.incarnation + crashes_));
   tracker_.OnCrash(crash, flow::CrashSiteOf(upstream.record), parts, at);
-  LogChanges();
+  PublishChanges();
 }
 
-void PoisonGuard::LogChanges() {
+void PoisonGuard::PublishChanges() {
   for (const flow::PartVerdict& verdict : tracker_.TakeChanges(loop_->Now())) {
     LogPartVerdict(verdict);
+    if (verdict.is_blocked) {
+      on_blocked_(verdict.part);
+    }
   }
 }
 
--- a/Source/Core/Edge/poison_guard.h
+++ b/Source/Core/Edge/poison_guard.h
@@ -1,6 +1,7 @@
 // Keeps calls with a prompt part that crashes upstreams away from them.
 #pragma once
 
+#include <functional>
 #include <optional>
 
 #include "Core/Edge/call_dialect.h"
@@ -14,10 +15,14 @@
 /// exchange of both with other instances. Not thread safe.
 class PoisonGuard {
  public:
+  /// Receives a part that is blocked from now on.
+  using BlockedFn = std::function<void(flow::PromptPartId part)>;
+
   /// The pointers must outlive the guard.
   PoisonGuard(net::EventLoop* loop, ConnectionPool* upstream_pool,
               const flow::UpstreamRegistry* registry,
-              const flow::FleetView* fleet, EdgeMetrics* metrics);
+              const flow::FleetView* fleet, EdgeMetrics* metrics,
+              BlockedFn on_blocked);
 
   /// The blocked part of a call, if it has one. A probe is due only at the
   /// instance of the fleet that is elected for the part.
@@ -43,14 +48,16 @@
  private:
   void OnCrash(const flow::Upstream& upstream,
                const std::vector<LostCall>& calls, Instant at);
-  /// Logs the parts that were blocked or cleared since the last call.
-  void LogChanges();
+  /// Logs the parts that were blocked or cleared since the last call, and
+  /// passes on the blocked ones.
+  void PublishChanges();
   /// Whether this instance is the one that sends probes of the part.
   bool IsElected(flow::PromptPartId part) const;
 
   net::EventLoop* loop_;
   const flow::FleetView* fleet_;
   EdgeMetrics* metrics_;
+  BlockedFn on_blocked_;
   flow::PoisonTracker tracker_;
   CrashDetector detector_;
   uint64_t crashes_ = 0;
--- a/Source/UnitTests/Core/Edge/poison_test.cc
+++ b/Source/UnitTests/Core/Edge/poison_test.cc
@@ -36,6 +36,9 @@
       fixture_.AddUpstream(
           "u" + std::to_string(i),
           [this, failure, i](const Caller& to, const Request& request) {
+            if (std::exchange(holds_next_, false)) {
+              return;
+            }
             if (!IsDeadly(request) && !std::exchange(crashes_next_, false)) {
               to->Write(
                   Upstream::StreamHead(request) +
@@ -99,12 +102,15 @@
   EdgeFixture& fixture() { return fixture_; }
   // The upstream that gets the next call crashes, whatever the call holds.
   void CrashOnNextCall() { crashes_next_ = true; }
+  // The upstream that gets the next call does not answer it.
+  void HoldNextCall() { holds_next_ = true; }
   void SendTo(net::Endpoint* to) { to_ = to; }
 
  private:
   EdgeFixture fixture_;
   int calls_ = 0;
   bool crashes_next_ = false;
+  bool holds_next_ = false;
   net::Endpoint* to_ = nullptr;
 };
 
@@ -123,7 +129,8 @@
   CHECK(poisoned.Call(kSound, "/stream/").starts_with("HTTP/1.1 200"));
 }
 
-// Guards against BUDGET: each call with a new deadly part crashes two upstreams.
+// Guards against BUDGET: each call with a new deadly part crashes two
+// upstreams.
 TEST_CASE("a call with a part that no call has survived crashes one upstream") {
   Poisoned poisoned(Failure::kCrash, 4);
   CHECK(poisoned.Call(kDeadly).starts_with("HTTP/1.1 502"));
@@ -139,6 +146,27 @@
   CHECK(poisoned.crashed() == 1);
 }
 
+// Guards against BUDGET: calls that wait at upstreams as their part is blocked
+// crash them afterwards.
+TEST_CASE("a call that waits with a part that is blocked is withdrawn") {
+  Poisoned poisoned(Failure::kCrash, 8);
+  for (int n = 0; n < 4; ++n) {
+    poisoned.Call(kSound, "/stream/");
+  }
+  poisoned.HoldNextCall();
+  EdgeFixture& fixture = poisoned.fixture();
+  RawCaller waiting(&fixture.loop, fixture.node->public_endpoint());
+  waiting.Send(EdgeFixture::Request("/single/", "waiting", "",
+                                    std::string(kDeadly) + "999\r\n"));
+  fixture.RunFor(Millis(20));
+  REQUIRE(poisoned.Crash(7) <= 3);
+  fixture.RunFor(Millis(20));
+  CHECK(waiting.text().starts_with("HTTP/1.1 502"));
+  CHECK(std::any_of(
+      fixture.upstreams.begin(), fixture.upstreams.end(),
+      [](const auto& upstream) { return upstream->disconnects() == 1; }));
+}
+
 // Guards against LOST: sound calls are refused because connections are reset.
 TEST_CASE("resets and drained upstreams block no prompt part") {
   for (Failure failure : {Failure::kReset, Failure::kDrainedCrash}) {
