BUDGET: evidence is not lost to a young clock or a full list of survivals

Callers would see: an instance that has just started counts no crash from before its clock began, so that a deadly part is new to it; a sound part whose survival was pushed out of the list is held against its calls again. Cause: both read in the change of the evidence: a missing survival stood for the clock's zero, and survivals were evicted by time alone. Change: without a survival all crashes count; the survivals of parts of remembered crashes stay; a decision about one part makes the others be looked at again.

--- a/Source/Core/Flow/poison_tracker.cc
+++ b/Source/Core/Flow/poison_tracker.cc
@@ -173,12 +173,14 @@
 }
 
 void PoisonTracker::AddSurvival(PromptPartId part, Instant at) {
-  Instant& latest = survivals_[part];
+  Instant& latest = survivals_.try_emplace(part, at).first->second;
   latest = std::max(latest, at);
   if (survivals_.size() <= kMaxSurvivals) {
     return;
   }
-  // Half of them at once, as each time costs a pass over all.
+  // The older half at once, as each time costs a pass over all. The crashes
+  // that a survival cleared would count again without it.
+  std::set<PromptPartId> recorded = RecordedParts();
   std::vector<Instant> times;
   for (const auto& [survivor, time] : survivals_) {
     times.push_back(time);
@@ -186,12 +188,13 @@
   auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
   std::nth_element(times.begin(), middle, times.end());
   std::erase_if(survivals_, [&](const auto& it) {
-    return it.second < *middle && it.second != at;
+    return it.second <= *middle && !recorded.contains(it.first);
   });
 }
 
 Instant PoisonTracker::AccusedSince(PromptPartId part) const {
-  Instant since;
+  // A crash that a neighbour remembers may be older than this instance's clock.
+  Instant since = Instant::min();
   if (auto it = survivals_.find(part); it != survivals_.end()) {
     since = it->second;
   }
@@ -334,6 +337,7 @@
   verdict.last_call = now;
   verdict.decided_at = now;
   changes_.push_back(part);
+  needs_decision_ = true;
   EvictVerdicts();
 }
 
@@ -454,6 +458,7 @@
     if (is_new || verdict.is_blocked != report.is_blocked) {
       changes_.push_back(report.part);
       verdict.decided_at = now;
+      needs_decision_ = true;
     }
     verdict.generation = report.generation;
     verdict.is_blocked = report.is_blocked;
--- a/Source/UnitTests/Core/Flow/poison_tracker_test.cc
+++ b/Source/UnitTests/Core/Flow/poison_tracker_test.cc
@@ -222,6 +222,34 @@
   CHECK(tracker.FindBlocked({Part(2)}, now));
 }
 
+// Guards against BUDGET: an instance that has just started takes no notice of
+// crashes before its clock began.
+TEST_CASE("crashes from before the clock of an instance count") {
+  Instant now{Seconds(20)};
+  PoisonTracker tracker;
+  PoisonReport report;
+  for (uint64_t i = 1; i <= 3; ++i) {
+    report.crashed_calls.push_back(
+        {CrashId(i), UpstreamShortId(i), Seconds(600 * i), {Part(1), Part(2)}});
+  }
+  tracker.OnReport(report, now);
+  BeginOthers(&tracker, now);
+  CHECK(tracker.FindBlocked({Part(2)}, now));
+}
+
+// Guards against LOST: crashes that a survival cleared count again.
+TEST_CASE("a survival is kept as long as the crash that it clears") {
+  Instant now = kStart;
+  PoisonTracker tracker;
+  tracker.OnCrash(CrashId(1), UpstreamShortId(1), {{Part(1), Part(2)}}, now);
+  tracker.OnSurvival({Part(1)}, now + Millis(1));
+  for (uint64_t i = 0; i < 5000; ++i) {
+    tracker.OnSurvival({Part(100 + i)}, now + Millis(2 + i));
+  }
+  CHECK(tracker.EvidenceOf(Part(1)).events == 0);
+  CHECK(tracker.EvidenceOf(Part(2)).events == 1);
+}
+
 TEST_CASE("a call is suspected after an earlier crash, until one survives") {
   Instant now = kStart;
   PoisonTracker tracker;
