--- a/Source/UnitTests/Core/Flow/poison_tracker_test.cc
+++ b/Source/UnitTests/Core/Flow/poison_tracker_test.cc
@@ -1,6 +1,7 @@
 // Evidence, verdicts and probes of one prompt part.
 #include "Core/Flow/poison_tracker.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 namespace basilvalve::flow {
@@ -237,6 +238,23 @@
   CHECK(tracker.FindBlocked({Part(2)}, now));
 }
 
+// Guards against BUDGET: a report holds 20 crashes, and always the same ones.
+TEST_CASE("each instance learns each of many crashes at once") {
+  Instant now = kStart;
+  PoisonTracker tracker;
+  for (uint64_t i = 0; i < 40; ++i) {
+    tracker.OnCrash(CrashId(i), UpstreamShortId(i), {{Part(1), Part(10 + i)}},
+                    now);
+  }
+  // Reports go to two instances in turn.
+  std::array<PoisonTracker, 2> others;
+  for (int i = 0; i < 28; ++i, now += Millis(100)) {
+    others[i % 2].OnReport(tracker.MakeReport(now), now);
+  }
+  CHECK(others[0].crashed_calls() == 40);
+  CHECK(others[1].crashed_calls() == 40);
+}
+
 // Guards against LOST: crashes that a survival cleared count again.
 TEST_CASE("a survival is kept as long as the crash that it clears") {
   Instant now = kStart;
