TWICE: the log tells which call a refusal names

Cause: the log could not tell a refusal of this call from one that names another call or none: both are upstream_refused. Change: the dialect reports which call a response names; a line refusal_received has that, the status and the time since the send; mismatched_response has it too.

--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "Core/Common/result.h"
 #include "Core/Flow/upstream.h"
@@ -34,11 +35,26 @@
   std::optional<net::Endpoint> prompt_source;
 };
 
+/// Which call a response names as the one that it answers. A connection may
+/// deliver a response to another call, or bytes that answer none.
+enum class NamedCall { kThis, kOther, kNone };
+
+/// For log and metrics. Thread safe.
+constexpr std::string_view NamedCallName(NamedCall named_call) {
+  switch (named_call) {
+    case NamedCall::kThis:
+      return "this";
+    case NamedCall::kOther:
+      return "other";
+    case NamedCall::kNone:
+      return "none";
+  }
+  return "";
+}
+
 /// What the head of a response says about the call.
 struct ResponseInfo {
-  /// Whether the response belongs to this call; a connection may deliver a
-  /// response to another one.
-  bool matches_request = false;
+  NamedCall named_call = NamedCall::kNone;
   /// Whether the upstream states that it did not execute the call.
   bool not_executed = false;
   /// Whether the address now belongs to a different upstream, which did not
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -39,6 +39,16 @@
       .With("retry_after_ms", decision.retry_after.count());
 }
 
+void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
+                NamedCall named_call, Micros age) {
+  LogEvent(LogLevel::kInfo, "edge", "refusal_received")
+      .With("request", params.id.value())
+      .With("from", from.Text())
+      .With("status", status)
+      .With("names_call", NamedCallName(named_call))
+      .With("age_us", age.count());
+}
+
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left) {
   LogEvent(LogLevel::kInfo, "edge", "call_retried")
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -22,6 +22,10 @@
 void LogCallRejected(const CallParams& params, const CallContext& context,
                      const CallProgress& progress,
                      const flow::DispatchDecision& decision);
+/// Logs a response which says that the call was not executed: which call it
+/// names, and how long after the send it came. Thread safe.
+void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
+                NamedCall named_call, Micros age);
 /// Logs that a call is retried. Thread safe.
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left);
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -264,13 +264,18 @@
     attempt_.is_unsent_by_peer = head.Find(kHopUnsentHeader) != nullptr;
     attempt_.peer_retry_after = ParseRetryAfter(head);
     attempt_.head = head;
+    if (attempt_.peer_outcome == Outcome::kNotRun) {
+      LogRefusal(params_, attempt_.endpoint, head.status, response.named_call,
+                 now - attempt_.sent_at);
+    }
     return true;
   }
-  if (!response.matches_request && !response.not_executed) {
+  if (response.named_call != NamedCall::kThis && !response.not_executed) {
     LogEvent(LogLevel::kWarn, "edge", "mismatched_response")
         .With("request", params_.id.value())
         .With("from", attempt_.endpoint.Text())
-        .With("status", head.status);
+        .With("status", head.status)
+        .With("names_call", NamedCallName(response.named_call));
     return false;
   }
   attempt_.head = head;
@@ -284,6 +289,8 @@
   }
   if (response.not_executed) {
     attempt_.is_refusal = true;
+    LogRefusal(params_, attempt_.endpoint, head.status, response.named_call,
+               now - attempt_.sent_at);
     if (response.is_misdirected && attempt_.upstream) {
       attempt_.upstream->is_misdirected = true;
     }
--- a/Source/Fakes/fake_dialect.cc
+++ b/Source/Fakes/fake_dialect.cc
@@ -64,7 +64,10 @@
                                             const RequestId& id) const {
   ResponseInfo info;
   const std::string* echoed = head.Find("Call-Id");
-  info.matches_request = echoed != nullptr && *echoed == id.value();
+  if (echoed != nullptr) {
+    info.named_call =
+        *echoed == id.value() ? NamedCall::kThis : NamedCall::kOther;
+  }
   info.is_misdirected = head.status == 421;
   info.not_executed = info.is_misdirected || head.Find("Not-Run") != nullptr;
   info.is_verified = head.Find("Proof") != nullptr;
--- a/Source/UnitTests/Platform/Fuzz/fuzz_target.cc
+++ b/Source/UnitTests/Platform/Fuzz/fuzz_target.cc
@@ -105,7 +105,8 @@
         platform_adapter::WireDialect().ParseResponseHead(parser.head(),
                                                           RequestId("9c41"));
     const std::string* id = parser.head().Find("X-Request-Id");
-    if (parsed.matches_request && id != nullptr && *id != "9c41") {
+    if (parsed.named_call == edge::NamedCall::kThis &&
+        (id == nullptr || *id != "9c41")) {
       return "a response to another call was accepted";
     }
   }
--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -199,27 +199,29 @@
   struct Row {
     std::vector<net::HeaderField> fields;
     int status;
-    bool matches_request, not_executed, is_verified;
+    edge::NamedCall named_call;
+    bool not_executed, is_verified;
   };
+  using edge::NamedCall;
   const std::vector<Row> rows = {
       {{{"X-Request-Id", "r1"}, {"X-Response-Signature", "s"}},
        200,
-       true,
+       NamedCall::kThis,
        false,
        true},
-      {{{"X-Request-Id", "r1"}}, 200, true, false, false},
+      {{{"X-Request-Id", "r1"}}, 200, NamedCall::kThis, false, false},
       {{{"X-Request-Id", "r1"},
         {"X-Response-Signature", "s"},
         {"Content-Encoding", "gzip"}},
        200,
-       true,
+       NamedCall::kThis,
        false,
        false},
-      {{{"X-Not-Executed", "1"}}, 503, false, true, false},
-      {{{"X-Instance-Id", "i"}}, 421, false, true, false},
+      {{{"X-Not-Executed", "1"}}, 503, NamedCall::kNone, true, false},
+      {{{"X-Instance-Id", "i"}}, 421, NamedCall::kNone, true, false},
       {{{"X-Request-Id", "other"}, {"X-Not-Executed", "1"}},
        503,
-       false,
+       NamedCall::kOther,
        false,
        false},
   };
@@ -227,7 +229,7 @@
     auto response_info = dialect.ParseResponseHead(
         MakeHead(row.fields, row.status), RequestId("r1"));
     INFO(row.status << " " << row.fields[0].name << row.fields[0].value);
-    CHECK(response_info.matches_request == row.matches_request);
+    CHECK(response_info.named_call == row.named_call);
     CHECK(response_info.not_executed == row.not_executed);
     CHECK(response_info.is_verified == row.is_verified);
   }
