TWICE: a response is believed only for the call that it names

Cause: "not executed" was believed without the id of the call, and a peer instance's outcome before any id was compared. Bytes that answer no request then ended the next one on the connection as not run; it was sent on while the first upstream ran it. Such bytes also changed what was known of the upstream (leaving, pause, misdirected). Change: OriginOf decides first whether a response belongs to the call; what belongs to none is dropped and its connection closed. The attempt is taken back only with a NotRunProof, which a response gives if it names the call, and a connection if nothing was written; RunLedger counts. Failures between instances name the call (Basilvalve-Call); one that names none, as of an earlier build, ends the attempt as one that may have run.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Core/Edge/edge_components.h"
+#include "Core/Edge/run_ledger.h"
 #include "Core/Flow/placement.h"
 #include "Core/Net/client_connection.h"
 
@@ -42,8 +43,8 @@
   /// Whether the upstream has got past the start of its response, which is
   /// where a deadly prompt part crashes it.
   bool is_past_start = false;
-  /// The upstream states that it did not execute the call.
-  bool is_refusal = false;
+  /// Set if the response proves that the call was not executed.
+  std::optional<NotRunProof> not_run_proof;
   /// The upstream states in this response that it is leaving.
   bool is_leaving = false;
   /// The response lacks the upstream's signature or its unmodified body.
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -40,15 +40,26 @@
 }
 
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
-                NamedCall named_call, Micros age) {
+                Micros age) {
   LogEvent(LogLevel::kInfo, "edge", "refusal_received")
       .With("request", params.id.value())
       .With("from", from.Text())
       .With("status", status)
-      .With("names_call", NamedCallName(named_call))
       .With("age_us", age.count());
 }
 
+void LogForeignResponse(const CallParams& params, const net::Endpoint& from,
+                        int status, const ResponseClaim& claim) {
+  bool says_not_run =
+      claim.not_executed || claim.peer_outcome == Outcome::kNotRun;
+  LogEvent(LogLevel::kWarn, "edge", "mismatched_response")
+      .With("request", params.id.value())
+      .With("from", from.Text())
+      .With("status", status)
+      .With("names_call", NamedCallName(claim.named_call))
+      .With("says_not_run", says_not_run ? "yes" : "no");
+}
+
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left) {
   LogEvent(LogLevel::kInfo, "edge", "call_retried")
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "Core/Edge/call_planner.h"
+#include "Core/Edge/response_origin.h"
 #include "Core/Flow/poison_tracker.h"
 
 namespace basilvalve::edge {
@@ -22,10 +23,13 @@
 void LogCallRejected(const CallParams& params, const CallContext& context,
                      const CallProgress& progress,
                      const flow::DispatchDecision& decision);
-/// Logs a response which says that the call was not executed: which call it
-/// names, and how long after the send it came. Thread safe.
+/// Logs a proof that an attempt did not execute the call, and how long after
+/// the send it came. Thread safe.
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
-                NamedCall named_call, Micros age);
+                Micros age);
+/// Logs a response that belongs to another call or to none. Thread safe.
+void LogForeignResponse(const CallParams& params, const net::Endpoint& from,
+                        int status, const ResponseClaim& claim);
 /// Logs that a call is retried. Thread safe.
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left);
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -71,6 +71,11 @@
           .Help("Calls taken back unsent from upstreams that leave or pause.")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Counter>& foreign_responses =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_foreign_responses_total")
+          .Help("Responses that belong to another call or name none.")
+          .Register(registry);
   prometheus::Counter& invalid_datagrams =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_bad_datagrams_total")
@@ -153,6 +158,10 @@
 
 void EdgeMetrics::CountWithdrawn() { impl_->withdrawn.Increment(); }
 
+void EdgeMetrics::CountForeignResponse(std::string_view names) {
+  impl_->foreign_responses.Add({{"names", std::string(names)}}).Increment();
+}
+
 void EdgeMetrics::CountInvalidDatagram() {
   impl_->invalid_datagrams.Increment();
 }
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -38,6 +38,9 @@
   /// Counts a call that was taken back before it was sent, since its upstream
   /// said it wants none.
   void CountWithdrawn();
+  /// Counts a response that belongs to another call ("other") or names none
+  /// ("none").
+  void CountForeignResponse(std::string_view names);
   void CountInvalidDatagram();
   /// Counts the bytes that ended with a connection: of responses that were not
   /// written, and of requests that were read and discarded.
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -255,8 +255,8 @@
         .With("request", params->id.value())
         .With("status", 503)
         .With("reason", "draining");
-    caller->Write(SerializeFailure(503, Millis(0), Outcome::kNotRun,
-                                   /*is_unsent=*/true, /*hop_lines=*/{},
+    HopFailure failure{params->id, Outcome::kNotRun, /*is_unsent=*/true};
+    caller->Write(SerializeFailure(503, Millis(0), failure, /*hop_lines=*/{},
                                    /*keep_alive=*/false));
     caller->EndResponse(/*keep_alive=*/false);
     return;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -118,7 +118,7 @@
       break;
   }
   LogCallRejected(params_, context_, progress_, decision);
-  if (possible_runs_ > 0) {
+  if (runs_.MayHaveRun()) {
     SendFailure(502, {}, "no_upstream_left");
     return;
   }
@@ -128,7 +128,7 @@
 void Exchange::RefuseBlocked(const flow::BlockedPart& blocked) {
   LogCallBlocked(params_, progress_, blocked);
   components_->metrics->CountBlockedCall();
-  if (possible_runs_ > 0) {
+  if (runs_.MayHaveRun()) {
     SendFailure(502, {}, "part_blocked");
     return;
   }
@@ -167,7 +167,7 @@
   HopParams hop;
   hop.is_last_hop = true;
   hop.can_sender_retry =
-      IsRetryable() && possible_runs_ + 1 < context_.route->max_attempts;
+      IsRetryable() && runs_.possible_runs() + 1 < context_.route->max_attempts;
   hop.suggested_upstream = placement.upstream->record.id;
   placement.upstream->forwarded_load.Add(
       {1, placement.prefill_tokens,
@@ -248,37 +248,54 @@
   splitter_.DropPartial();
   attempt_.events_before = splitter_.events();
   ++progress_.sends;
-  ++possible_runs_;
+  runs_.OnAttempt();
   attempt_.connection->Send(std::move(bytes), this);
   ArmSilenceTimer(SilenceLimit());
 }
 
+ResponseClaim Exchange::ClaimOf(const net::MessageHead& head,
+                                const ResponseInfo& response) const {
+  ResponseClaim claim{response.named_call, response.not_executed, {}};
+  const std::string* outcome =
+      attempt_.upstream ? nullptr : head.Find(kHopOutcomeHeader);
+  if (outcome != nullptr) {
+    const std::string* call = head.Find(kHopCallHeader);
+    claim.peer_outcome = ParseOutcome(*outcome);
+    claim.named_call = call == nullptr               ? NamedCall::kNone
+                       : *call == params_.id.value() ? NamedCall::kThis
+                                                     : NamedCall::kOther;
+  }
+  return claim;
+}
+
 bool Exchange::OnHead(const net::MessageHead& head) {
   Instant now = components_->loop->Now();
   ResponseInfo response =
       components_->dialect->ParseResponseHead(head, params_.id);
-  RecordNotice(head, response);
-  if (const std::string* outcome = head.Find(kHopOutcomeHeader);
-      outcome != nullptr && !attempt_.upstream) {
-    attempt_.peer_outcome = ParseOutcome(*outcome);
-    attempt_.is_unsent_by_peer = head.Find(kHopUnsentHeader) != nullptr;
-    attempt_.peer_retry_after = ParseRetryAfter(head);
-    attempt_.head = head;
-    if (attempt_.peer_outcome == Outcome::kNotRun) {
-      LogRefusal(params_, attempt_.endpoint, head.status, response.named_call,
-                 now - attempt_.sent_at);
-    }
-    return true;
-  }
-  if (response.named_call != NamedCall::kThis && !response.not_executed) {
-    LogEvent(LogLevel::kWarn, "edge", "mismatched_response")
-        .With("request", params_.id.value())
-        .With("from", attempt_.endpoint.Text())
-        .With("status", head.status)
-        .With("names_call", NamedCallName(response.named_call));
+  ResponseClaim claim = ClaimOf(head, response);
+  ResponseOrigin origin = OriginOf(claim);
+  // A late response to another call still tells about its sender.
+  if (claim.named_call != NamedCall::kNone) {
+    RecordNotice(head, response);
+  }
+  if (origin == ResponseOrigin::kForeign) {
+    LogForeignResponse(params_, attempt_.endpoint, head.status, claim);
+    components_->metrics->CountForeignResponse(NamedCallName(claim.named_call));
     return false;
   }
   attempt_.head = head;
+  attempt_.not_run_proof = NotRunProof::FromResponse(claim);
+  if (attempt_.not_run_proof) {
+    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at);
+  }
+  if (origin == ResponseOrigin::kPeerFailure) {
+    attempt_.peer_outcome =
+        attempt_.not_run_proof ? Outcome::kNotRun : Outcome::kUnknown;
+    attempt_.is_unsent_by_peer =
+        attempt_.not_run_proof && head.Find(kHopUnsentHeader) != nullptr;
+    attempt_.peer_retry_after = ParseRetryAfter(head);
+    return true;
+  }
   attempt_.last_event_at = now;
   if (attempt_.upstream) {
     attempt_.upstream->last_received_at = now;
@@ -287,10 +304,7 @@
       attempt_.upstream->reported->at = now;
     }
   }
-  if (response.not_executed) {
-    attempt_.is_refusal = true;
-    LogRefusal(params_, attempt_.endpoint, head.status, response.named_call,
-               now - attempt_.sent_at);
+  if (attempt_.not_run_proof) {
     if (response.is_misdirected && attempt_.upstream) {
       attempt_.upstream->is_misdirected = true;
     }
@@ -338,8 +352,8 @@
   }
   auto self = shared_from_this();
   components_->metrics->CountWithdrawn();
+  runs_.OnNotRun(*NotRunProof::FromConnection(*attempt_.connection));
   CancelAttempt();
-  --possible_runs_;
   --progress_.sends;
   Dispatch();
 }
@@ -400,7 +414,7 @@
     components_->metrics->CountCrossRegionBytes(bytes.size());
   }
   bool is_forwarded = IsStream() && attempt_.head.status == 200 &&
-                      !attempt_.is_refusal && !attempt_.is_unverified &&
+                      !attempt_.not_run_proof && !attempt_.is_unverified &&
                       !attempt_.peer_outcome;
   if (is_forwarded) {
     ForwardStream(bytes);
@@ -500,10 +514,10 @@
   if (attempt_.peer_outcome) {
     OnPeerFailed();
   }
-  Classification classification =
-      ClassifyResponse({attempt_.head.status, attempt_.peer_outcome,
-                        attempt_.is_refusal, attempt_.is_unverified, IsStream(),
-                        stream_started_, splitter_.has_partial()});
+  Classification classification = ClassifyResponse(
+      {attempt_.head.status, attempt_.peer_outcome,
+       attempt_.not_run_proof.has_value(), attempt_.is_unverified, IsStream(),
+       stream_started_, splitter_.has_partial()});
   bool ends_with_connection =
       !attempt_.head.content_length && !attempt_.head.chunked;
   if (classification.verdict != ResponseVerdict::kNotRun) {
@@ -530,7 +544,7 @@
       if (attempt_.upstream) {
         attempt_.upstream->breaker.OnNeutral();
       }
-      OnNotRun(classification.reason);
+      OnNotRun(*attempt_.not_run_proof, classification.reason);
       return;
     case ResponseVerdict::kMayHaveRun:
       if (ends_with_connection && MayHaveCrashed()) {
@@ -593,7 +607,9 @@
 
 void Exchange::OnError(net::ClientError client_error) {
   auto self = shared_from_this();
-  bool was_sent = attempt_.connection->has_sent();
+  std::optional<NotRunProof> unsent =
+      NotRunProof::FromConnection(*attempt_.connection);
+  bool was_sent = !unsent;
   // An idle connection that the other side has closed. It shows nothing about
   // that side, unless it happens again.
   bool is_stale = !was_sent && failed_connects_ == 0 &&
@@ -627,8 +643,8 @@
     on_ended_(this);
     return;
   }
-  if (!was_sent) {
-    --possible_runs_;
+  if (unsent) {
+    runs_.OnNotRun(*unsent);
     ++failed_connects_;
     if (is_stale) {
       Dispatch();
@@ -643,7 +659,7 @@
       Dispatch();
       return;
     }
-    SendFailure(possible_runs_ > 0 ? 502 : 503, kNotRunRetryAfter,
+    SendFailure(runs_.MayHaveRun() ? 502 : 503, kNotRunRetryAfter,
                 "no_connection");
     return;
   }
@@ -685,7 +701,7 @@
 }
 
 bool Exchange::MayRetry() const {
-  return possible_runs_ < context_.route->max_attempts &&
+  return runs_.possible_runs() < context_.route->max_attempts &&
          TimeLeft() > kMinRetryTime;
 }
 
@@ -719,8 +735,8 @@
   }
 }
 
-void Exchange::OnNotRun(std::string_view reason) {
-  --possible_runs_;
+void Exchange::OnNotRun(NotRunProof proof, std::string_view reason) {
+  runs_.OnNotRun(proof);
   if (attempt_.upstream) {
     progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   }
@@ -734,7 +750,7 @@
   if (!attempt_.is_unsent_by_peer && TryRetry(reason)) {
     return;
   }
-  SendFailure(possible_runs_ > 0 ? 502 : 503,
+  SendFailure(runs_.MayHaveRun() ? 502 : 503,
               std::max({kNotRunRetryAfter, attempt_.peer_retry_after,
                         PauseRetryAfter(components_, context_.service)}),
               reason);
@@ -754,13 +770,14 @@
     Finish("broken", status, reason);
     return;
   }
-  std::optional<Outcome> outcome;
+  std::optional<HopFailure> failure;
   if (context_.is_from_peer) {
-    outcome = status == 503 ? Outcome::kNotRun : Outcome::kUnknown;
+    failure = {params_.id, status == 503 ? Outcome::kNotRun : Outcome::kUnknown,
+               progress_.sends == 0};
   }
   bool keep = KeepsAlive();
-  caller_->Write(SerializeFailure(status, retry_after, outcome,
-                                  progress_.sends == 0, HopLines(), keep));
+  caller_->Write(
+      SerializeFailure(status, retry_after, failure, HopLines(), keep));
   caller_->EndResponse(keep);
   Finish(status == 503 ? "not-run" : "unknown", status, reason);
 }
@@ -793,7 +810,7 @@
 }
 
 void Exchange::GiveUp(std::string_view reason) {
-  bool may_have_run = possible_runs_ > 0;
+  bool may_have_run = runs_.MayHaveRun();
   CancelAttempt();
   SendFailure(may_have_run ? 504 : 503,
               may_have_run ? Millis(0) : kNotRunRetryAfter, reason);
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -9,6 +9,7 @@
 #include "Core/Edge/call_planner.h"
 #include "Core/Edge/edge_components.h"
 #include "Core/Edge/hop_header.h"
+#include "Core/Edge/run_ledger.h"
 #include "Core/Flow/event_splitter.h"
 #include "Core/Net/server_connection.h"
 
@@ -69,6 +70,8 @@
   void OnPeerFailed();
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
+  ResponseClaim ClaimOf(const net::MessageHead& head,
+                        const ResponseInfo& response) const;
   /// Records what the response says about its sender's willingness.
   void RecordNotice(const net::MessageHead& head, const ResponseInfo& response);
   /// Header lines of a response to a peer instance; empty for a caller.
@@ -94,7 +97,7 @@
   void OnUpstreamError();
   void CompleteStream();
   void ForwardResponse();
-  void OnNotRun(std::string_view reason);
+  void OnNotRun(NotRunProof proof, std::string_view reason);
   void OnMayHaveRun(std::string_view reason);
   /// Whether the route's attempts and the time left allow one more.
   bool MayRetry() const;
@@ -154,8 +157,7 @@
   /// How long the caller waits.
   Instant caller_deadline_;
   Instant target_deadline_;
-  /// Attempts that an upstream may have executed.
-  int possible_runs_ = 0;
+  RunLedger runs_;
   int failed_connects_ = 0;
   /// When the silence timer is due.
   Instant silence_due_;
--- a/Source/Core/Edge/hop_header.h
+++ b/Source/Core/Edge/hop_header.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "Core/Common/result_code.h"
+#include "Core/Common/strong_id.h"
 #include "Core/Flow/desired_state.h"
 
 namespace basilvalve::edge {
@@ -16,6 +18,9 @@
 /// Response header between instances: the outcome, as written by OutcomeName,
 /// of a call for which no upstream produced a response.
 inline constexpr std::string_view kHopOutcomeHeader = "Basilvalve-Outcome";
+/// Response header between instances, beside the outcome: the request id of the
+/// call.
+inline constexpr std::string_view kHopCallHeader = "Basilvalve-Call";
 /// Response header between instances, beside the outcome "not-run": no upstream
 /// was sent the call.
 inline constexpr std::string_view kHopUnsentHeader = "Basilvalve-Unsent";
@@ -23,8 +28,8 @@
 /// is leaving, as written by FormatHopLeaving.
 inline constexpr std::string_view kHopLeavingHeader = "Basilvalve-Leaving";
 /// All of them; a response of an upstream that has one does not pass it on.
-inline constexpr std::array<std::string_view, 3> kHopResponseHeaders = {
-    kHopOutcomeHeader, kHopUnsentHeader, kHopLeavingHeader};
+inline constexpr std::array<std::string_view, 4> kHopResponseHeaders = {
+    kHopOutcomeHeader, kHopCallHeader, kHopUnsentHeader, kHopLeavingHeader};
 
 /// The sender's route parameters. The receiver does not look up the route
 /// itself, so that differing versions of the desired state cannot conflict.
@@ -50,6 +55,14 @@
   UpstreamId suggested_upstream;
 };
 
+/// A failure as an instance reports it to the one that forwarded the call.
+struct HopFailure {
+  RequestId call;
+  Outcome outcome = Outcome::kUnknown;
+  /// Whether no upstream was sent the call.
+  bool is_unsent = false;
+};
+
 /// An upstream that is leaving, for kHopLeavingHeader.
 struct HopLeaving {
   UpstreamId upstream;
--- a/Source/Core/Edge/message_serializer.cc
+++ b/Source/Core/Edge/message_serializer.cc
@@ -135,7 +135,7 @@
 }
 
 std::string SerializeFailure(int status, Millis retry_after,
-                             std::optional<Outcome> outcome, bool is_unsent,
+                             const std::optional<HopFailure>& failure,
                              std::string_view hop_lines, bool keep_alive) {
   std::string out = StatusLine(status);
   AppendHeader("Content-Length", "0", &out);
@@ -145,10 +145,11 @@
                   static_cast<double>(retry_after.count()) / 1000);
     AppendHeader("Retry-After", seconds.data(), &out);
   }
-  if (outcome) {
-    AppendHeader(kHopOutcomeHeader, OutcomeName(*outcome), &out);
+  if (failure) {
+    AppendHeader(kHopOutcomeHeader, OutcomeName(failure->outcome), &out);
+    AppendHeader(kHopCallHeader, failure->call.value(), &out);
   }
-  if (outcome && is_unsent) {
+  if (failure && failure->is_unsent) {
     AppendHeader(kHopUnsentHeader, "1", &out);
   }
   out.append(hop_lines);
--- /dev/null
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -0,0 +1,179 @@
+#include <catch2/catch.hpp>
+
+#include "Core/Edge/response_origin.h"
+#include "Core/Edge/run_ledger.h"
+#include "UnitTests/Core/Edge/edge_fixture.h"
+
+namespace basilvalve::edge {
+namespace {
+
+using Upstream = ScriptedUpstream;
+using Caller = net::ServerConnection::Ptr;
+using Request = net::ServerRequest;
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string Stray(int status, const std::string& fields) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: 0\r\n\r\n";
+}
+
+void Respond(const Caller& caller, const Request& request) {
+  if (Contains(request.head.target, "/stream/") ||
+      Contains(request.head.target, "/single/")) {
+    caller->Write(Upstream::StreamHead(request) +
+                  Upstream::Chunk("id: 1\ndata: done\n\n") + "0\r\n\r\n");
+  } else {
+    caller->Write(Upstream::Response(request, 200, "done"));
+  }
+  caller->EndResponse(true);
+}
+
+TEST_CASE("a response belongs to a call only if it names the call") {
+  using enum ResponseOrigin;
+  struct Row {
+    NamedCall named_call;
+    std::optional<Outcome> peer_outcome;
+    bool not_executed;
+    ResponseOrigin origin;
+    bool is_proof;
+  };
+  const std::vector<Row> rows = {
+      {NamedCall::kThis, {}, false, kUpstream, false},
+      {NamedCall::kThis, {}, true, kUpstream, true},
+      {NamedCall::kOther, {}, false, kForeign, false},
+      {NamedCall::kOther, {}, true, kForeign, false},
+      {NamedCall::kNone, {}, false, kForeign, false},
+      {NamedCall::kNone, {}, true, kForeign, false},
+      {NamedCall::kThis, Outcome::kNotRun, false, kPeerFailure, true},
+      {NamedCall::kThis, Outcome::kUnknown, false, kPeerFailure, false},
+      {NamedCall::kThis, Outcome::kUnknown, true, kPeerFailure, false},
+      {NamedCall::kOther, Outcome::kNotRun, true, kForeign, false},
+      {NamedCall::kNone, Outcome::kNotRun, true, kPeerFailure, false},
+  };
+  for (const Row& row : rows) {
+    INFO(NamedCallName(row.named_call) << " not executed " << row.not_executed
+                                       << " peer " << !!row.peer_outcome);
+    ResponseClaim claim{row.named_call, row.not_executed, row.peer_outcome};
+    CHECK(OriginOf(claim) == row.origin);
+    CHECK(NotRunProof::FromResponse(claim).has_value() == row.is_proof);
+  }
+}
+
+TEST_CASE("an attempt is taken back once") {
+  ResponseClaim refusal{NamedCall::kThis, true, {}};
+  RunLedger ledger;
+  ledger.OnAttempt();
+  ledger.OnAttempt();
+  ledger.OnNotRun(*NotRunProof::FromResponse(refusal));
+  ledger.OnNotRun(*NotRunProof::FromResponse(refusal));
+  CHECK(ledger.possible_runs() == 1);
+}
+
+TEST_CASE("a refusal that names no call neither ends nor repeats a call") {
+  struct Row {
+    const char* name;
+    std::string stray;
+  };
+  const std::vector<Row> rows = {
+      {"refusal", Stray(503, "Not-Run: 1\r\n")},
+      {"misdirected", Stray(421, "")},
+      {"refusal of another call", Stray(503, "Call-Id: r0\r\nNot-Run: 1\r\n")},
+      {"misdirected other call", Stray(421, "Call-Id: r0\r\n")},
+      {"outcome of a peer", Stray(503, "Basilvalve-Outcome: not-run\r\n")},
+      {"leaving", Stray(503, "Not-Run: 1\r\nLeaving: 1\r\n")},
+      {"pause", Stray(503, "Not-Run: 1\r\nPause-Ms: 60000\r\n")},
+  };
+  for (const Row& row : rows) {
+    for (const char* path : {"/once/", "/again/", "/stream/", "/single/"}) {
+      INFO(row.name << " " << path);
+      EdgeFixture fixture;
+      fixture.ApplyDesiredState();
+      size_t runs = 0;
+      auto script = [&](const Caller& caller, const Request& request) {
+        if (++runs == 2) {
+          caller->Write(row.stray);
+        }
+        Respond(caller, request);
+      };
+      fixture.AddUpstream("u1", script);
+      fixture.AddUpstream("u2", script);
+      for (size_t n = 1; n <= 3; ++n) {
+        auto caller = fixture.Call(
+            EdgeFixture::Request(path, "r" + std::to_string(n), "body"));
+        REQUIRE(fixture.RunUntil(
+            [&] { return Contains(caller->text(), "\r\n\r\n"); }));
+        CHECK(Contains(caller->text(), "HTTP/1.1 200"));
+        CHECK(runs == n);
+      }
+      for (const auto& upstream : fixture.upstreams) {
+        auto known = fixture.node->registry().Find(
+            upstream->Record(ServiceName("service")).id);
+        CHECK(known->notice->Allows(fixture.loop.Now()));
+        CHECK_FALSE(known->is_misdirected);
+      }
+    }
+  }
+}
+
+// A scripted peer instance in another region, the only place to send calls to.
+void AddScriptedPeer(EdgeFixture* fixture, ScriptedUpstream* peer) {
+  const ServiceName service("service");
+  flow::UpstreamRecord record = peer->Record(service);
+  flow::Heartbeat heartbeat;
+  heartbeat.from.id = InstanceId("peer");
+  heartbeat.from.data_centre = flow::DataCentreId("zone2");
+  heartbeat.from.region = RegionId("south");
+  heartbeat.from.peer_address = record.host + ":" + std::to_string(record.port);
+  heartbeat.from.incarnation = 1;
+  heartbeat.sequence = 1;
+  heartbeat.service_capacities[service] = {1, Micros(0), 50, 0, 0};
+  fixture->node->fleet().OnHeartbeat(heartbeat, fixture->loop.Now());
+}
+
+TEST_CASE("a peer's outcome is believed only for the call that it names") {
+  const std::string not_run = "Basilvalve-Outcome: not-run\r\n";
+  struct Row {
+    const char* name;
+    std::string fields;
+    int once;
+    int again;
+  };
+  const std::vector<Row> rows = {
+      {"this call", not_run + "Basilvalve-Call: r2\r\n", 503, 503},
+      {"another call", not_run + "Basilvalve-Call: r1\r\n", 200, 200},
+      {"no call", not_run, 502, 502},
+      {"no call, unsent", not_run + "Basilvalve-Unsent: 1\r\n", 502, 502},
+  };
+  for (const Row& row : rows) {
+    for (const char* path : {"/once/", "/again/"}) {
+      INFO(row.name << " " << path);
+      EdgeFixture fixture;
+      fixture.ApplyDesiredState();
+      size_t requests = 0;
+      ScriptedUpstream peer(&fixture.loop, "peer",
+                            [&](const Caller& caller, const Request& request) {
+                              if (++requests == 2) {
+                                caller->Write(Stray(503, row.fields));
+                              }
+                              Respond(caller, request);
+                            });
+      AddScriptedPeer(&fixture, &peer);
+      std::string text;
+      for (const char* id : {"r1", "r2"}) {
+        auto caller = fixture.Call(EdgeFixture::Request(path, id, "body"));
+        REQUIRE(fixture.RunUntil(
+            [&] { return Contains(caller->text(), "\r\n\r\n"); }));
+        text = caller->text();
+      }
+      int status = path == std::string("/once/") ? row.once : row.again;
+      CHECK(Contains(text, "HTTP/1.1 " + std::to_string(status)));
+      CHECK(requests == 2);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace basilvalve::edge
