TWICE: bytes that came before a request was written do not answer it

A connection from the pool may hold bytes or an end that its socket got before the request was written, most likely after a pause of the process. The request was written all the same: bytes were taken for its response, and after an end a call that must not be repeated ended with 502 though nothing had run. Cause: whether unasked bytes were there was only looked at when the loop reported them. Change: a connection that was idle is read once before a request is written to it. If anything is there, the request fails as unsent, and is sent elsewhere.

--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -82,12 +82,25 @@
     // Posted, so that the observer is never called before Send returns.
     loop_->Post([weak = weak_from_this()] {
       if (auto self = weak.lock()) {
-        self->Flush();
+        self->FlushOnIdle();
       }
     });
   }
 }
 
+void ClientConnection::FlushOnIdle() {
+  if (closed_) {
+    return;
+  }
+  IoResult got = socket_->Read(loop_->scratch());
+  if (got.status != IoStatus::kBlocked) {
+    // What came before the request does not answer it.
+    FailRequest(ClientError::kConnectionClosed);
+    return;
+  }
+  Flush();
+}
+
 void ClientConnection::Flush() {
   auto self = shared_from_this();
   if (closed_ || waiting_writable_) {
@@ -157,6 +170,10 @@
     }
     return;
   }
+  if (!has_sent()) {
+    FailRequest(ClientError::kConnectionClosed);
+    return;
+  }
   unparsed_.append(buf.data(), got.bytes);
   ParseResponse();
   if (!closed_ && !paused_) {
--- /dev/null
+++ b/Source/UnitTests/Core/Net/client_connection_test.cc
@@ -0,0 +1,80 @@
+#include "Core/Net/client_connection.h"
+
+#include <catch2/catch.hpp>
+
+#include "UnitTests/Core/Net/test_server.h"
+
+namespace basilvalve::net {
+namespace {
+
+constexpr Millis kWaitTimeout{5000};
+
+struct RecordingObserver : ClientObserver {
+  bool OnHead(const MessageHead& head) override {
+    statuses.push_back(head.status);
+    return true;
+  }
+  void OnBody(std::string_view) override {}
+  void OnDone() override { has_ended = true; }
+  void OnError(ClientError client_error) override {
+    has_ended = true;
+    error = client_error;
+  }
+  bool has_ended = false;
+  std::optional<ClientError> error;
+  std::vector<int> statuses;
+};
+
+// What the server does while the client takes the idle connection again.
+struct Row {
+  const char* name;
+  std::string bytes;
+  bool closes;
+};
+
+TEST_CASE("bytes that came before a request was written do not answer it") {
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string refusal =
+      "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::vector<Row> rows = {
+      {"whole response", refusal, false},
+      {"part of a response", refusal.substr(0, 20), false},
+      {"response and end", refusal, true},
+      {"end", "", true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    EventLoop loop;
+    ServerConnection::Ptr server_side;
+    size_t requests = 0;
+    TestServer server(
+        &loop, [&](const ServerConnection::Ptr& caller, const ServerRequest&) {
+          ++requests;
+          server_side = caller;
+          caller->Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+          caller->EndResponse(true);
+        });
+    auto connection = ClientConnection::Open(&loop, server.endpoint(),
+                                             Millis(1000), Millis(1000));
+    RecordingObserver first;
+    connection->Send(request, &first);
+    REQUIRE(loop.RunUntil([&] { return first.has_ended; }, kWaitTimeout));
+    REQUIRE(first.statuses == std::vector<int>{200});
+    // The bytes are in the client's socket buffer before it sends.
+    server_side->Write(row.bytes);
+    if (row.closes) {
+      server_side->Disconnect();
+    }
+    RecordingObserver second;
+    connection->Send(request, &second);
+    REQUIRE(loop.RunUntil([&] { return second.has_ended; }, kWaitTimeout));
+    CHECK(second.error == ClientError::kConnectionClosed);
+    CHECK_FALSE(connection->has_sent());
+    CHECK_FALSE(connection->is_reusable());
+    CHECK(second.statuses.empty());
+    CHECK(requests == 1);
+  }
+}
+
+}  // namespace
+}  // namespace basilvalve::net
