REFUSED: an upstream's 408 or 429 is passed on only as a proven refusal

Callers saw: nothing known; found while tracing the same class. To a caller, 408, 421, 429 and 503 promise that the call has not run and never will. An upstream's own 408 or 429 that does not say "not executed" was passed on as it was, though "no other response states this" (the users' protocol): the call may have run. Cause: only 503 was looked at. Change: PromisesNotRun has the four statuses; such a response without proof is treated as an unexplained 503 was: a retry where the call may be repeated, else 502. BusyListener moved to a file of its own for the next test; its users are unchanged. Conclusion: a status that promises reaches a caller only from a NotRunProof or from this instance's own refusals.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -572,9 +572,9 @@
   if (IsRetryable() && TryRetry("upstream_error")) {
     return;
   }
-  // A 503 tells the caller that the call was not executed, but this one was.
-  if (attempt_.head.status == 503) {
-    OnMayHaveRun("unexplained_503");
+  // The upstream did not say that it has not executed the call.
+  if (PromisesNotRun(attempt_.head.status)) {
+    OnMayHaveRun("unexplained_refusal");
     return;
   }
   ForwardResponse();
--- a/Source/Core/Edge/response_classifier.cc
+++ b/Source/Core/Edge/response_classifier.cc
@@ -8,6 +8,10 @@
 
 }  // namespace
 
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 Classification ClassifyResponse(const ResponseFacts& facts) {
   if (facts.peer_outcome) {
     if (*facts.peer_outcome == Outcome::kNotRun) {
@@ -25,7 +29,7 @@
     // The caller has part of a stream, which another response cannot complete.
     return {ResponseVerdict::kMayHaveRun, "resume_refused"};
   }
-  if (facts.status >= kFirstServerError) {
+  if (facts.status >= kFirstServerError || PromisesNotRun(facts.status)) {
     return {ResponseVerdict::kUpstreamError, "upstream_error"};
   }
   if (!facts.is_stream || facts.status != kOk) {
--- a/Source/Core/Edge/response_classifier.h
+++ b/Source/Core/Edge/response_classifier.h
@@ -46,6 +46,10 @@
   std::string_view reason;
 };
 
+/// Whether the status tells a caller that its call was not executed and never
+/// will be. Thread safe.
+bool PromisesNotRun(int status);
+
 /// Pure function. Thread safe.
 Classification ClassifyResponse(const ResponseFacts& facts);
 
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -149,6 +149,14 @@
     caller->Write(Upstream::Response(request, 503, "ran"));
     caller->EndResponse(true);
   };
+  auto unexplained_429 = [](const Caller& caller, const Request& request) {
+    caller->Write(Upstream::Response(request, 429, "ran"));
+    caller->EndResponse(true);
+  };
+  auto unexplained_408 = [](const Caller& caller, const Request& request) {
+    caller->Write(Upstream::Response(request, 408, "ran"));
+    caller->EndResponse(true);
+  };
   auto truncated = [](const Caller& caller, const Request& request) {
     caller->Write(Upstream::Response(request, 200, "done").substr(0, 60));
     caller->Abort();
@@ -170,6 +178,11 @@
       {"non-idempotent, unverified", "/once/", unverified, 502, 1},
       {"non-idempotent, upstream error", "/once/", error, 500, 1},
       {"non-idempotent, unexplained 503", "/once/", unexplained_503, 502, 1},
+      {"non-idempotent, unexplained 429", "/once/", unexplained_429, 502, 1},
+      {"non-idempotent, unexplained 408", "/once/", unexplained_408, 502, 1},
+      {"non-resumable stream, unexplained 429", "/single/", unexplained_429,
+       502, 1},
+      {"idempotent, unexplained 429", "/again/", unexplained_429, 200, 2},
       {"non-idempotent, not run", "/once/", not_run, 200, 2},
       {"non-idempotent, misdirected", "/once/", misdirected, 200, 2},
       {"idempotent, reset", "/again/", ResetConnection, 200, 2},
--- a/Source/UnitTests/Core/Edge/notice_test.cc
+++ b/Source/UnitTests/Core/Edge/notice_test.cc
@@ -1,13 +1,10 @@
 // Upstreams that say they are leaving, or ask for a pause.
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
 
 #include "Core/Edge/heartbeat_codec.h"
 #include "Core/Edge/hop_header.h"
 #include "UnitTests/Core/Edge/edge_fixture.h"
+#include "UnitTests/Core/Net/busy_listener.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -366,44 +363,13 @@
   CHECK(upstream.requests().size() == 1);
 }
 
-// A listener whose queue is full, so that connections to it stay pending.
-class BusyListener {
- public:
-  BusyListener() {
-    fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    filler_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    auto* raw = reinterpret_cast<sockaddr*>(&address);
-    socklen_t size = sizeof(address);
-    REQUIRE(::bind(fd_, raw, size) == 0);
-    REQUIRE(::listen(fd_, 0) == 0);
-    REQUIRE(::getsockname(fd_, raw, &size) == 0);
-    REQUIRE(::connect(filler_, raw, size) == 0);
-    port_ = ntohs(address.sin_port);
-  }
-  ~BusyListener() {
-    ::close(fd_);
-    ::close(filler_);
-  }
-  BusyListener(const BusyListener&) = delete;
-  BusyListener& operator=(const BusyListener&) = delete;
-  uint16_t port() const { return port_; }
-
- private:
-  int fd_ = -1;
-  int filler_ = -1;
-  uint16_t port_ = 0;
-};
-
 // Guards against DRAIN: a call waits for its connection while the upstream says
 // that it is leaving, and is then sent.
 TEST_CASE("a call not sent yet is taken back from an upstream that leaves") {
   for (bool is_registered : {false, true}) {
     INFO((is_registered ? "registration" : "heartbeat"));
     NoticeFixture fixture;
-    BusyListener busy;
+    net::BusyListener busy;
     Upstream& upstream = fixture.AddUpstream("u1", Serve);
     flow::UpstreamRecord record = upstream.Record(ServiceName("service"));
     record.port = busy.port();
@@ -442,7 +408,7 @@
 // Guards against a 502 for a call that no upstream was sent.
 TEST_CASE("a call taken back without another place is refused as not run") {
   NoticeFixture fixture;
-  BusyListener busy;
+  net::BusyListener busy;
   Upstream& upstream = fixture.AddUpstream("u1", Serve);
   flow::UpstreamRecord record = upstream.Record(ServiceName("service"));
   record.port = busy.port();
--- a/Source/UnitTests/Core/Edge/response_classifier_test.cc
+++ b/Source/UnitTests/Core/Edge/response_classifier_test.cc
@@ -19,6 +19,12 @@
       {"503 that does not state whether the call ran",
        {.status = 503},
        ResponseVerdict::kUpstreamError},
+      {"429 that does not state whether the call ran",
+       {.status = 429},
+       ResponseVerdict::kUpstreamError},
+      {"408 that does not state whether the call ran",
+       {.status = 408, .is_stream = true},
+       ResponseVerdict::kUpstreamError},
       {"503 that states the call did not run",
        {.status = 503, .is_refusal = true},
        ResponseVerdict::kNotRun},
@@ -58,7 +64,7 @@
 
 // Checks invariants over all combinations of facts.
 TEST_CASE("only a complete response to the call is ever forwarded") {
-  for (int status : {200, 204, 404, 421, 429, 500, 503}) {
+  for (int status : {200, 204, 404, 408, 421, 429, 500, 503}) {
     for (unsigned bits = 0; bits < 128; ++bits) {
       ResponseFacts facts;
       facts.status = status;
@@ -80,6 +86,7 @@
         CHECK_FALSE(facts.is_unverified);
         CHECK_FALSE(facts.peer_outcome);
         CHECK(status < 500);
+        CHECK_FALSE(PromisesNotRun(status));
         // A started stream is completed as a stream or not at all.
         CHECK((!facts.stream_started ||
                verdict == ResponseVerdict::kStreamComplete));
