REFUSED: a call given up before it was sent is refused as not run

Callers saw: 504, after which a call that must not be repeated is lost to them, when the time ran out or the process stopped while the connection to the upstream was pending. Cause: an attempt counted as a possible run from the moment it began, until a response or an error took it back; giving it up did not ask whether anything had been written. Change: CancelAttempt takes the attempt back if nothing was written; the connection closes, so nothing can be later. Conclusion: the same proof serves errors, withdrawals, deadlines and drains.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -352,7 +352,6 @@
   }
   auto self = shared_from_this();
   components_->metrics->CountWithdrawn();
-  runs_.OnNotRun(*NotRunProof::FromConnection(*attempt_.connection));
   CancelAttempt();
   --progress_.sends;
   Dispatch();
@@ -810,8 +809,8 @@
 }
 
 void Exchange::GiveUp(std::string_view reason) {
-  bool may_have_run = runs_.MayHaveRun();
   CancelAttempt();
+  bool may_have_run = runs_.MayHaveRun();
   SendFailure(may_have_run ? 504 : 503,
               may_have_run ? Millis(0) : kNotRunRetryAfter, reason);
 }
@@ -927,6 +926,9 @@
   if (attempt_.upstream && !attempt_.has_first_byte) {
     attempt_.upstream->breaker.OnNeutral();
   }
+  if (auto unsent = NotRunProof::FromConnection(*attempt_.connection)) {
+    runs_.OnNotRun(*unsent);
+  }
   attempt_.connection->Close();
   attempt_.connection = nullptr;
 }
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -3,6 +3,7 @@
 
 #include "Core/Edge/hop_header.h"
 #include "UnitTests/Core/Edge/edge_fixture.h"
+#include "UnitTests/Core/Net/busy_listener.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -59,6 +60,34 @@
   }
 }
 
+// Guards against a 504, after which callers must not retry, for a call that no
+// upstream was sent.
+TEST_CASE("a call given up before it was sent is refused as not run") {
+  for (bool is_drained : {false, true}) {
+    INFO((is_drained ? "end of a drain" : "deadline"));
+    EdgeFixture fixture("north", net::TimeSource::kVirtual);
+    fixture.ApplyDesiredState(1, Millis(is_drained ? 12000 : 500));
+    if (is_drained) {
+      fixture.node->BeginDrain([] {});
+      fixture.RunFor(Millis(2450));
+    }
+    // The second connection is still pending when the drain ends.
+    net::BusyListener busy;
+    for (const char* id : {"u1", "u2"}) {
+      flow::UpstreamRecord record =
+          fixture.AddUpstream(id, RespondOk).Record(ServiceName("service"));
+      record.port = busy.port();
+      fixture.node->registry().Upsert(record, fixture.loop.Now());
+    }
+    auto caller = fixture.Call(
+        EdgeFixture::Request("/once/", "r1", "", "Patience: 12000\r\n"));
+    REQUIRE(fixture.RunUntil([&] { return Contains(*caller, "\r\n\r\n"); }));
+    CHECK(Contains(*caller, "HTTP/1.1 503"));
+    CHECK(Contains(*caller, "Retry-After"));
+    CHECK(Contains(*caller, "Connection: close") == is_drained);
+  }
+}
+
 // Guards against LOST: a forwarded stream ends before its caller's time is up.
 TEST_CASE("a forwarded stream may use all of its caller's time") {
   EdgeFixture local("south", net::TimeSource::kVirtual);
