Store: a late answer to a renewal does not end a registration

Cause: the answer to a renewal was acted on although a registration had begun meanwhile, because the entry was missing. It set the timer of the next renewal in place of the one that was to ask for a lease again, and the registration stayed "in progress" for good: further news of the missing entry were ignored. The lease lived on, its entry did not, so that the other instances no longer counted this one as registered.

--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -385,5 +385,29 @@
   CHECK(fixture.IsRegistered());
 }
 
+// Guards against an instance that stays without its entry in the store.
+TEST_CASE("a late answer to a renewal does not end a registration") {
+  StoreWatcherFixture fixture;
+  fixture.fake_store.Put("op/config", kDesiredStateJson);
+  fixture.registration->Start();
+  REQUIRE(fixture.WaitUntil([&] { return fixture.IsRegistered(); }));
+  fixture.fake_store.holds_responses = true;
+  REQUIRE(fixture.WaitUntil(
+      [&] { return fixture.fake_store.held_response_count() == 1; }));
+  fixture.fake_store.holds_responses = false;
+  fixture.fake_store.Remove("instances/edge-a-1");
+  fixture.fake_store.SetFailureMode(FakeStore::FailureMode::kUnavailable);
+  uint64_t calls_before = fixture.fake_store.call_count();
+  fixture.registration->OnEntryMissing();
+  REQUIRE(fixture.WaitUntil(
+      [&] { return fixture.fake_store.call_count() > calls_before; }));
+  // The refusal arrives before the answer to the renewal.
+  fixture.loop.RunUntil([] { return false; }, Millis(50));
+  fixture.fake_store.ReleaseResponses();
+  fixture.loop.RunUntil([] { return false; }, Millis(50));
+  fixture.fake_store.SetFailureMode(FakeStore::FailureMode::kHealthy);
+  CHECK(fixture.WaitUntil([&] { return fixture.IsRegistered(); }));
+}
+
 }  // namespace
 }  // namespace basilvalve::platform_adapter
--- a/Source/UnitTests/Platform/fake_store.cc
+++ b/Source/UnitTests/Platform/fake_store.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "platform/store_records.h"
 
@@ -66,8 +67,20 @@
   }
 }
 
+void FakeStore::ReleaseResponses() {
+  holds_responses = false;
+  for (const auto& send : std::exchange(held_responses_, {})) {
+    send();
+  }
+}
+
 void FakeStore::SendResponse(const net::ServerConnection::Ptr& caller,
                              int status, const std::string& body) {
+  if (holds_responses) {
+    held_responses_.emplace_back(
+        [this, caller, status, body] { SendResponse(caller, status, body); });
+    return;
+  }
   caller->Write("HTTP/1.1 " + std::to_string(status) +
                 " X\r\nContent-Length: " + std::to_string(body.size()) +
                 "\r\n\r\n" + body);
--- a/Source/UnitTests/Platform/fake_store.h
+++ b/Source/UnitTests/Platform/fake_store.h
@@ -1,6 +1,7 @@
 // In-memory store for tests, with pages, watches, leases and failure modes.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -39,6 +40,11 @@
   size_t page_size = 2;
   /// Watches return no events, but the current revision.
   bool hides_events = false;
+  /// Responses are kept back, as they were at the time of the call.
+  bool holds_responses = false;
+  size_t held_response_count() const { return held_responses_.size(); }
+  /// Sends the responses that were kept back and keeps back no more.
+  void ReleaseResponses();
 
  private:
   struct Change {
@@ -70,6 +76,7 @@
   std::set<uint64_t> active_leases_;
   std::vector<Change> history_;
   std::vector<PendingWatch> pending_watches_;
+  std::vector<std::function<void()>> held_responses_;
   uint64_t revision_ = 10;
   uint64_t oldest_watch_revision_ = 0;
   uint64_t next_lease_ = 100;
