Store: a read that ends late does not undo changes passed on meanwhile

Cause: a full read replaced everything by its pages and set the revision back to that of its first page, whatever had been passed on by other instances since. An instance that reads again (compacted history, outdated desired state) took back an evacuation, used an upstream again that had left and forgot a new one, until its next watch, which for an instance that follows others may be 0.6 s away, or longer if the store fails. Conclusion: guards DRAIN and EVAC in regions in which changes are passed on.

--- a/Source/UnitTests/Platform/store_relay_test.cc
+++ b/Source/UnitTests/Platform/store_relay_test.cc
@@ -238,5 +238,51 @@
       Millis(4000)));
 }
 
+// Guards against DRAIN and EVAC: a full read takes back later changes.
+TEST_CASE("a read that ends late does not undo changes passed on meanwhile") {
+  RelayFixture fixture;
+  FakeStore& store = fixture.fake_store;
+  auto is_evacuated = [&] {
+    auto upstream = fixture.node->registry().Find(UpstreamId("u1"));
+    return upstream != nullptr &&
+           fixture.node->registry().IsEvacuated(*upstream);
+  };
+  store.Put("servers/u1", UpstreamEntry(80));
+  store.Put("servers/u2", UpstreamEntry(81));
+  store.Put("op/config", DesiredState(4));
+  // As if the change of the state had been lost.
+  fixture.PassOn({{"servers/u1", UpstreamEntry(80), 21, false},
+                  {"servers/u2", UpstreamEntry(81), 22, false}},
+                 20, 23);
+  fixture.Confirm(23, 4);
+  REQUIRE(
+      fixture.RunUntil([&] { return fixture.HasUpstream("u2"); }, Millis(500)));
+  store.holds_responses = true;
+  fixture.RunUntil([] { return false; }, Millis(500));
+  fixture.Confirm(23, 4);
+  REQUIRE(fixture.RunUntil([&] { return store.held_response_count() == 1; },
+                           Millis(4000)));
+  store.Remove("servers/u2");
+  store.Put("servers/u3", UpstreamEntry(82));
+  store.Put("op/evacuate/a", "{}");
+  fixture.PassOn({{"servers/u2", "", 24, true},
+                  {"servers/u3", UpstreamEntry(82), 25, false},
+                  {"op/evacuate/a", "{}", 26, false}},
+                 23, 26);
+  fixture.Confirm(26, 4);
+  REQUIRE(fixture.RunUntil(is_evacuated, Millis(500)));
+  store.ReleaseResponses();
+  // The desired state came with the read only.
+  REQUIRE(fixture.RunUntil(
+      [&] {
+        return fixture.node->metrics().Text().find("state_version 4") !=
+               std::string::npos;
+      },
+      Millis(500)));
+  CHECK(is_evacuated());
+  CHECK_FALSE(fixture.HasUpstream("u2"));
+  CHECK(fixture.HasUpstream("u3"));
+}
+
 }  // namespace
 }  // namespace basilvalve::platform_adapter
