TWICE: a refusal that was cut does not take over the next response's call id

Cause: a refusal that no request asked for, cut inside its head, and the real response behind it parse as one head, which says "not executed" and has the id of the call. Change: a response whose reason or field value contains the start of another response is malformed, so that the attempt may have run and the connection closes. Conclusion: an id proves nothing if the head it stands in is not whole.

--- a/Source/Core/Net/message.cc
+++ b/Source/Core/Net/message.cc
@@ -53,6 +53,23 @@
   return ec == std::errc() ? std::optional(offset) : std::nullopt;
 }
 
+// Whether the text contains the start of a response, as it does when a response
+// that was cut in its head is followed by another one.
+bool HasStatusLine(std::string_view text) {
+  constexpr std::string_view kStart = "HTTP/1.";
+  // A digit of the version, a space and a digit of the status follow.
+  auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  for (size_t at = text.find(kStart); at != std::string_view::npos;
+       at = text.find(kStart, at + 1)) {
+    std::string_view rest = text.substr(at + kStart.size());
+    if (rest.size() >= 3 && is_digit(rest[0]) && rest[1] == ' ' &&
+        is_digit(rest[2])) {
+      return true;
+    }
+  }
+  return false;
+}
+
 template <bool kIsRequest>
 class BeastParser : public http::basic_parser<kIsRequest> {
  public:
@@ -76,8 +93,13 @@
     parsed.head.target = ToStd(target);
     CheckVersion(version, &ec);
   }
-  void on_response_impl(int code, View, int version, error_code& ec) override {
+  void on_response_impl(int code, View reason, int version,
+                        error_code& ec) override {
     parsed.head.status = code;
+    if (HasStatusLine(ToStd(reason))) {
+      ec = http::error::bad_reason;
+      return;
+    }
     CheckVersion(version, &ec);
   }
   void CheckVersion(int version, error_code* ec) {
@@ -97,6 +119,10 @@
       ec = http::error::bad_content_length;
       return;
     }
+    if (!kIsRequest && HasStatusLine(ToStd(value))) {
+      ec = http::error::bad_value;
+      return;
+    }
     if (name == http::field::transfer_encoding) {
       if (parsed.head.chunked || !EqualsIgnoringCase(ToStd(value), "chunked")) {
         ec = http::error::bad_transfer_encoding;
--- a/Source/UnitTests/Core/Edge/foreign_response_test.cc
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -118,6 +118,36 @@
   }
 }
 
+// Guards against TWICE: the head of a cut refusal runs into the real response,
+// whose call id then seems to be the refusal's.
+TEST_CASE("a cut refusal before a response does not take over its call id") {
+  for (const char* stray :
+       {"HTTP/1.1 503 X\r\nNot-Run: 1", "HTTP/1.1 503 X\r\nNot-Run: ",
+        "HTTP/1.1 503 X\r\nNot-Run: 1\r\nOther: ",
+        "HTTP/1.1 421 X\r\nOther: "}) {
+    for (const char* path : {"/once/", "/single/"}) {
+      INFO(stray << " " << path);
+      EdgeFixture fixture;
+      fixture.ApplyDesiredState();
+      size_t runs = 0;
+      auto script = [&](const Caller& caller, const Request& request) {
+        if (++runs == 2) {
+          caller->Write(stray);
+        }
+        Respond(caller, request);
+      };
+      fixture.AddUpstream("u1", script);
+      fixture.AddUpstream("u2", script);
+      for (const char* id : {"r1", "r2"}) {
+        auto caller = fixture.Call(EdgeFixture::Request(path, id, "body"));
+        REQUIRE(fixture.RunUntil(
+            [&] { return Contains(caller->text(), "\r\n\r\n"); }));
+      }
+      CHECK(runs == 2);
+    }
+  }
+}
+
 // A scripted peer instance in another region, the only place to send calls to.
 void AddScriptedPeer(EdgeFixture* fixture, ScriptedUpstream* peer) {
   const ServiceName service("service");
