A connection whose last response ended while paused is read again

Callers saw: a call that got no answer until its limit, on a connection whose last response had ended in the same read in which a slow caller made it pause. Cause: the connection went back to the pool paused, and Send took the pause back without waiting for bytes again. Change: the end of a response ends its pause. Conclusion: state of one call no longer outlives it on the connection.

--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -277,6 +277,8 @@
   unparsed_.clear();
   unparsed_.shrink_to_fit();
   idle_since_ = loop_->Now();
+  // An idle connection is read, whatever its last response was waiting for.
+  paused_ = false;
   ClientObserver* observer = observer_;
   observer_ = nullptr;
   if (!reusable_) {
--- a/Source/UnitTests/Core/Net/client_connection_test.cc
+++ b/Source/UnitTests/Core/Net/client_connection_test.cc
@@ -76,5 +76,34 @@
   }
 }
 
+// Guards against a call that waits to its limit on a connection nobody reads.
+TEST_CASE("a connection whose last response ended while paused is read again") {
+  EventLoop loop;
+  TestServer server(
+      &loop, [&](const ServerConnection::Ptr& caller, const ServerRequest&) {
+        caller->Write(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "1\r\nx\r\n0\r\n\r\n");
+        caller->EndResponse(true);
+      });
+  auto connection = ClientConnection::Open(&loop, server.endpoint(),
+                                           Millis(1000), Millis(1000));
+  struct PausingObserver : RecordingObserver {
+    void OnBody(std::string_view) override { (*connection)->Pause(); }
+    std::shared_ptr<ClientConnection>* connection = nullptr;
+  };
+  PausingObserver first;
+  first.connection = &connection;
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  connection->Send(request, &first);
+  REQUIRE(loop.RunUntil([&] { return first.has_ended; }, kWaitTimeout));
+  REQUIRE_FALSE(first.error);
+  REQUIRE(connection->is_reusable());
+  RecordingObserver second;
+  connection->Send(request, &second);
+  REQUIRE(loop.RunUntil([&] { return second.has_ended; }, kWaitTimeout));
+  CHECK(second.statuses == std::vector<int>{200});
+}
+
 }  // namespace
 }  // namespace basilvalve::net
