GONE: a call that must run once ends with its caller if it was not sent

A non-idempotent call whose connection to the upstream was pending went on after its caller had left, and reached the upstream. Cause: whether anything had been written was not asked when the caller left. Change: such a call is cancelled, as one that may be repeated is. Conclusion: the proof that nothing was written serves this place too.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -898,9 +898,10 @@
   if (is_finished_) {
     return;
   }
-  // A non-idempotent call runs to completion: its effect is wanted, and
-  // cancelling it would leave the outcome unknown.
-  if (context_.route->kind != flow::CallKind::kNonIdempotent) {
+  // A non-idempotent call that was sent runs to completion: its effect is
+  // wanted, and cancelling it would leave the outcome unknown.
+  if (context_.route->kind != flow::CallKind::kNonIdempotent ||
+      (attempt_.is_active && !attempt_.connection->has_sent())) {
     CancelAttempt();
   }
   Finish("caller-gone", 0, "caller_gone");
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -88,6 +88,28 @@
   }
 }
 
+// Guards against GONE: a call that was not sent yet reaches an upstream
+// although its caller has left.
+TEST_CASE("a call not sent yet ends with its caller") {
+  for (const char* path : {"/once/", "/again/", "/single/"}) {
+    INFO(path);
+    EdgeFixture fixture;
+    fixture.ApplyDesiredState(1, Millis(4000));
+    net::BusyListener busy;
+    flow::UpstreamRecord record =
+        fixture.AddUpstream("u1", RespondOk).Record(ServiceName("service"));
+    record.port = busy.port();
+    fixture.node->registry().Upsert(record, fixture.loop.Now());
+    auto upstream = fixture.node->registry().Find(record.id);
+    auto caller = fixture.Call(
+        EdgeFixture::Request(path, "r1", "", "Patience: 4000\r\n"));
+    REQUIRE(fixture.RunUntil([&] { return upstream->own_load.running == 1; }));
+    caller->Close();
+    fixture.RunFor(Millis(100));
+    CHECK(upstream->own_load.running == 0);
+  }
+}
+
 // Guards against LOST: a forwarded stream ends before its caller's time is up.
 TEST_CASE("a forwarded stream may use all of its caller's time") {
   EdgeFixture local("south", net::TimeSource::kVirtual);
