A response to no call that has no length ends the attempt at once

A call waited to its limit, or to 256 KB, for a response behind one that belongs to no call and ends with its connection. Cause: the body of a dropped response was read to its end, which is the connection's. Change: such a response fails the request as one that may have run, so that a call that may be repeated goes on elsewhere. "a connection with a response to no call is not used again" closes a gap that a mutation of the reviewer showed. Conclusion: what cannot be answered on the connection ends at once.

--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -208,6 +208,11 @@
       if (closed_ || observer_ == nullptr) {
         return;
       }
+      if (discarding_ && parser_.ends_with_connection()) {
+        // The expected response cannot follow.
+        FailRequest(ClientError::kMalformedResponse);
+        return;
+      }
     }
     std::string body = parser_.TakeBody();
     discarded_bytes_ += discarding_ ? used : 0;
--- a/Source/UnitTests/Core/Edge/foreign_response_test.cc
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -118,6 +118,62 @@
   }
 }
 
+// Guards against a call that waits to its limit for a response behind one that
+// ends with its connection.
+TEST_CASE("a response to no call that has no length ends the attempt") {
+  for (const char* path : {"/once/", "/again/"}) {
+    INFO(path);
+    EdgeFixture fixture("north", net::TimeSource::kVirtual);
+    fixture.ApplyDesiredState();
+    size_t runs = 0;
+    auto script = [&](const Caller& caller, const Request& request) {
+      if (++runs == 2) {
+        caller->Write("HTTP/1.1 503 X\r\nNot-Run: 1\r\n\r\n");
+      }
+      Respond(caller, request);
+    };
+    fixture.AddUpstream("u1", script);
+    fixture.AddUpstream("u2", script);
+    std::string text;
+    Instant sent_at;
+    for (const char* id : {"r1", "r2"}) {
+      sent_at = fixture.loop.Now();
+      auto caller = fixture.Call(EdgeFixture::Request(path, id, "body"));
+      REQUIRE(fixture.RunUntil(
+          [&] { return Contains(caller->text(), "\r\n\r\n"); }));
+      text = caller->text();
+    }
+    bool is_retried = path == std::string("/again/");
+    CHECK(Contains(text, is_retried ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+    CHECK(runs == (is_retried ? 3 : 2));
+    CHECK(fixture.loop.Now() - sent_at < Millis(200));
+  }
+}
+
+TEST_CASE("a connection with a response to no call is not used again") {
+  for (const char* fields : {"", "Call-Id: r0\r\n"}) {
+    EdgeFixture fixture;
+    fixture.ApplyDesiredState();
+    std::vector<Caller> connections;
+    fixture.AddUpstream("u1",
+                        [&](const Caller& caller, const Request& request) {
+                          connections.push_back(caller);
+                          if (connections.size() == 2) {
+                            caller->Write(Stray(503, fields));
+                          }
+                          Respond(caller, request);
+                        });
+    for (const char* id : {"r1", "r2", "r3"}) {
+      auto caller = fixture.Call(EdgeFixture::Request("/once/", id, "body"));
+      REQUIRE(fixture.RunUntil(
+          [&] { return Contains(caller->text(), "\r\n\r\n"); }));
+    }
+    REQUIRE(connections.size() == 3);
+    CHECK(connections[1] == connections[0]);
+    CHECK(connections[2] != connections[1]);
+  }
+}
+
 // Guards against TWICE: the head of a cut refusal runs into the real response,
 // whose call id then seems to be the refusal's.
 TEST_CASE("a cut refusal before a response does not take over its call id") {
