An idle connection that has ended says nothing about its upstream

When two idle connections of different upstreams had ended before a call was written, the second upstream counted as failed, or the second instance as unreachable. Cause: a stale connection was told from a failed one by being the call's first failure. Change: it is stale if the connection was idle before the attempt, whatever came before, and does not count as a failed connect; a line connection_stale tells of it. Conclusion: bounded, since all idle connections to the address are closed with it.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -25,6 +25,8 @@
   RegionId region;
   net::Endpoint endpoint;
   std::shared_ptr<net::ClientConnection> connection;
+  /// Whether the connection was idle before this attempt.
+  bool is_connection_reused = false;
   Instant sent_at;
   /// Time of the last event of a stream or the last bytes of a plain response,
   /// or of the send if there were none.
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -60,6 +60,12 @@
       .With("says_not_run", says_not_run ? "yes" : "no");
 }
 
+void LogStaleConnection(const CallParams& params, const net::Endpoint& to) {
+  LogEvent(LogLevel::kInfo, "edge", "connection_stale")
+      .With("request", params.id.value())
+      .With("endpoint", to.Text());
+}
+
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left) {
   LogEvent(LogLevel::kInfo, "edge", "call_retried")
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -30,6 +30,9 @@
 /// Logs a response that belongs to another call or to none. Thread safe.
 void LogForeignResponse(const CallParams& params, const net::Endpoint& from,
                         int status, const ResponseClaim& claim);
+/// Logs that an idle connection ended, or had bytes to read, before the call
+/// was written to it. Thread safe.
+void LogStaleConnection(const CallParams& params, const net::Endpoint& to);
 /// Logs that a call is retried. Thread safe.
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left);
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -244,6 +244,7 @@
   attempt_.last_event_at = attempt_.sent_at;
   attempt_.listening_since = attempt_.sent_at;
   attempt_.connection = std::move(connection);
+  attempt_.is_connection_reused = attempt_.connection->is_connected();
   // However the last attempt ended, this one starts at an event boundary.
   splitter_.DropPartial();
   attempt_.events_before = splitter_.events();
@@ -609,15 +610,15 @@
   std::optional<NotRunProof> unsent =
       NotRunProof::FromConnection(*attempt_.connection);
   bool was_sent = !unsent;
-  // An idle connection that the other side has closed. It shows nothing about
-  // that side, unless it happens again.
-  bool is_stale = !was_sent && failed_connects_ == 0 &&
-                  client_error != net::ClientError::kConnectFailed;
+  // An idle connection that the other side has closed, or on which it has sent
+  // bytes, shows nothing about that side.
+  bool is_stale = !was_sent && attempt_.is_connection_reused;
   attempt_.ReleaseLoad();
   attempt_.is_active = false;
   silence_timer_.Cancel();
   attempt_.connection = nullptr;
   if (is_stale) {
+    LogStaleConnection(params_, attempt_.endpoint);
     if (attempt_.upstream) {
       attempt_.upstream->breaker.OnNeutral();
     }
@@ -644,11 +645,11 @@
   }
   if (unsent) {
     runs_.OnNotRun(*unsent);
-    ++failed_connects_;
     if (is_stale) {
       Dispatch();
       return;
     }
+    ++failed_connects_;
     if (attempt_.upstream) {
       progress_.tried_upstreams.insert(attempt_.upstream->record.id);
     } else {
--- a/Source/UnitTests/Core/Edge/foreign_response_test.cc
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -174,6 +174,52 @@
   }
 }
 
+TEST_CASE("idle connections that have ended say nothing about upstreams") {
+  EdgeFixture fixture;
+  fixture.ApplyDesiredState();
+  std::vector<Caller> waiting;
+  auto script = [&](const Caller& caller, const Request& request) {
+    caller->Write(Upstream::Response(request, 200, "done"));
+    waiting.push_back(caller);
+  };
+  std::vector<flow::UpstreamRegistry::Ptr> known;
+  for (const char* id : {"u1", "u2", "u3"}) {
+    fixture.AddUpstream(id, script);
+    known.push_back(fixture.node->registry().Find(UpstreamId(id)));
+  }
+  for (int round = 0; round < 20; ++round) {
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 6; ++i) {
+      callers.push_back(fixture.Call(EdgeFixture::Request(
+          "/once/", "r" + std::to_string(round) + "-" + std::to_string(i))));
+    }
+    REQUIRE(fixture.RunUntil([&] { return waiting.size() == 6; }));
+    for (const auto& caller : callers) {
+      REQUIRE(
+          fixture.RunUntil([&] { return Contains(caller->text(), "done"); }));
+    }
+    for (const Caller& caller : waiting) {
+      caller->EndResponse(true);
+    }
+    // The call is readable before the ends of the idle connections.
+    callers[0]->Send(
+        EdgeFixture::Request("/once/", "s" + std::to_string(round)));
+    for (const Caller& caller : waiting) {
+      caller->Disconnect();
+    }
+    waiting.clear();
+    REQUIRE(fixture.RunUntil([&] { return waiting.size() == 1; }));
+    waiting[0]->EndResponse(true);
+    REQUIRE(fixture.RunUntil([&] {
+      return Contains(callers[0]->text(), "Call-Id: s" + std::to_string(round));
+    }));
+    waiting.clear();
+    for (const auto& upstream : known) {
+      CHECK(upstream->failures.At(fixture.loop.Now()) == 0);
+    }
+  }
+}
+
 // Guards against TWICE: the head of a cut refusal runs into the real response,
 // whose call id then seems to be the refusal's.
 TEST_CASE("a cut refusal before a response does not take over its call id") {
