--- a/Source/Core/Edge/attempt.cc
+++ b/Source/Core/Edge/attempt.cc
@@ -28,7 +28,7 @@
   upstream.last_assigned_at = now;
   upstream.breaker.OnStart(now);
   components->registry->OnSend(service, now);
-  components->cold_start_limiter->OnSent(upstream.record.id, now);
+  components->send_limiter->OnSent(upstream.record.id, now);
   return attempt;
 }
 
--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -63,7 +63,7 @@
   std::string body;
 
   /// Starts an attempt on the chosen upstream: adds the attempt's load and
-  /// notifies the breaker and the cold-start limiter. Not thread safe.
+  /// notifies the breaker and the send limiter. Not thread safe.
   static Attempt ToUpstream(EdgeComponents* components,
                             const flow::Placement& placement,
                             const ServiceName& service,
--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -70,6 +70,12 @@
   /// How long the sender wants no calls from this instance; zero if it does not
   /// say.
   Millis pause{0};
+  /// Calls a second that the sender takes from all instances together. nullopt
+  /// if it states no rate that can be read.
+  std::optional<flow::CallsPerSecond> limit;
+  /// Whether the response shows that the sender has no limit: a limit that
+  /// cannot be read shows neither.
+  bool is_unlimited = false;
 };
 
 /// Converts between this system's parameters and the platform's headers.
--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -9,10 +9,10 @@
 #include "Core/Edge/edge_metrics.h"
 #include "Core/Edge/notice_recorder.h"
 #include "Core/Edge/poison_guard.h"
-#include "Core/Flow/cold_start_limiter.h"
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
 #include "Core/Flow/fleet_retry_budget.h"
+#include "Core/Flow/send_limiter.h"
 
 namespace basilvalve::edge {
 
@@ -24,7 +24,7 @@
   flow::UpstreamRegistry* registry = nullptr;
   flow::Placer* placer = nullptr;
   flow::FleetRetryBudget* retry_budget = nullptr;
-  flow::ColdStartLimiter* cold_start_limiter = nullptr;
+  flow::SendLimiter* send_limiter = nullptr;
   flow::FleetView* fleet = nullptr;
   flow::DispatcherSet* dispatchers = nullptr;
   ConnectionPool* upstream_pool = nullptr;
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -55,7 +55,10 @@
       settings_(std::move(settings)),
       random_(settings_.seed),
       registry_(settings_.self.region),
-      placer_(&registry_, this, &EdgeNode::AllowsColdUpstream),
+      placer_(&registry_, this,
+              [](void* node, const flow::Upstream& upstream) {
+                return static_cast<EdgeNode*>(node)->AllowsSend(upstream);
+              }),
       retry_budget_(settings_.retries),
       fleet_(settings_.self),
       dispatchers_(settings_.self, loop->Now()),
@@ -81,7 +84,7 @@
   components_.registry = &registry_;
   components_.placer = &placer_;
   components_.retry_budget = &retry_budget_;
-  components_.cold_start_limiter = &cold_start_limiter_;
+  components_.send_limiter = &send_limiter_;
   components_.fleet = &fleet_;
   components_.dispatchers = &dispatchers_;
   components_.on_peer_unreachable = [this] { UpdateDispatchers(); };
@@ -136,16 +139,23 @@
   return std::nullopt;
 }
 
-bool EdgeNode::AllowsColdUpstream(void* user_data,
-                                  const flow::Upstream& upstream) {
-  auto* node = static_cast<EdgeNode*>(user_data);
+flow::SendLimits EdgeNode::LimitsOf(const flow::Upstream& upstream) const {
+  flow::SendLimits limits;
+  limits.stated = upstream.notice->Limit();
   const flow::ServiceTraits* traits =
-      node->state_ ? node->state_->TraitsOf(upstream.record.service) : nullptr;
-  Instant now = node->loop_->Now();
-  return traits == nullptr ||
-         node->cold_start_limiter_.Allows(
-             upstream.record.id, traits->cold_requests_per_second,
-             node->dispatchers_.MayWarmUp(upstream.record, now), now);
+      state_ ? state_->TraitsOf(upstream.record.service) : nullptr;
+  if (upstream.IsCold(loop_->Now()) && traits != nullptr &&
+      traits->cold_requests_per_second > 0) {
+    limits.cold = flow::CallsPerSecond(traits->cold_requests_per_second);
+  }
+  return limits;
+}
+
+bool EdgeNode::AllowsSend(const flow::Upstream& upstream) {
+  Instant now = loop_->Now();
+  return send_limiter_.Allows(upstream.record.id, LimitsOf(upstream),
+                              dispatchers_.MaySendLimited(upstream.record, now),
+                              now);
 }
 
 void EdgeNode::SetDesiredState(
@@ -392,6 +402,7 @@
     }
   }
   notices_.OnReports(heartbeat.leaving, now);
+  notices_.OnReports(heartbeat.limits, now);
   for (const flow::PromptCacheUpdate& update : heartbeat.cache_updates) {
     registry_.OnNeighbourCacheUpdate(update, MemoryTokensOf(update.upstream));
   }
@@ -429,6 +440,7 @@
       heartbeat.cache_updates.clear();
     }
     heartbeat.leaving = notices_.Reports(now);
+    heartbeat.limits = notices_.LimitReports(now);
     heartbeat.relayed = std::exchange(relayed_heartbeats_, {});
     if (dispatchers_.has_catalog_readers() && dispatchers_.IsCatalogReader()) {
       heartbeat.catalog_revision = catalog_revision_;
@@ -447,7 +459,7 @@
           upstream->own_load, is_observed ? upstream->time_per_token_us : 0,
           is_accepting};
     }
-    if (!is_accepting || upstream->IsCold(now)) {
+    if (!is_accepting || upstream->IsCold(now) || upstream->IsLimited()) {
       continue;
     }
     const ServiceName& service = upstream->record.service;
@@ -628,7 +640,11 @@
   upstream_pool_.Sweep();
   peer_pool_.Sweep();
   fleet_.Sweep(loop_->Now());
-  cold_start_limiter_.Sweep(loop_->Now());
+  send_limiter_.Sweep(loop_->Now());
+  for (const auto& [id, upstream] : registry_.all()) {
+    // Also without calls, the limiter learns of owners and limits that change.
+    AllowsSend(*upstream);
+  }
   registry_.Sweep(loop_->Now());
   metrics_.SetConnectionsOpened(upstream_pool_.opened(), peer_pool_.opened());
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -144,8 +144,10 @@
   void CheckDrained();
   /// Ends the calls in flight; their callers get a failure.
   void EndCalls();
-  static bool AllowsColdUpstream(void* user_data,
-                                 const flow::Upstream& upstream);
+  /// What the upstream bears now from all instances together.
+  flow::SendLimits LimitsOf(const flow::Upstream& upstream) const;
+  /// Whether this instance may send the upstream a call within its limits.
+  bool AllowsSend(const flow::Upstream& upstream);
 
   net::EventLoop* loop_;
   EdgeSettings settings_;
@@ -155,7 +157,7 @@
   flow::UpstreamRegistry registry_;
   flow::Placer placer_;
   flow::FleetRetryBudget retry_budget_;
-  flow::ColdStartLimiter cold_start_limiter_;
+  flow::SendLimiter send_limiter_;
   flow::FleetView fleet_;
   flow::DispatcherSet dispatchers_;
   ConnectionPool upstream_pool_;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -324,7 +324,8 @@
   if (attempt_.upstream) {
     attempt_.is_leaving = response.is_leaving;
     components_->notices->OnResponse(attempt_.upstream->record.id,
-                                     attempt_.notice.get(), response, now);
+                                     attempt_.notice.get(), response,
+                                     attempt_.sent_at, now);
     return;
   }
   if (const std::string* leaving = head.Find(kHopLeavingHeader)) {
@@ -613,6 +614,9 @@
   // An idle connection that the other side has closed, or on which it has sent
   // bytes, shows nothing about that side.
   bool is_stale = !was_sent && attempt_.is_connection_reused;
+  if (attempt_.upstream && !was_sent) {
+    components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
+  }
   attempt_.ReleaseLoad();
   attempt_.is_active = false;
   silence_timer_.Cancel();
@@ -930,6 +934,9 @@
   }
   if (auto unsent = NotRunProof::FromConnection(*attempt_.connection)) {
     runs_.OnNotRun(*unsent);
+    if (attempt_.upstream) {
+      components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
+    }
   }
   attempt_.connection->Close();
   attempt_.connection = nullptr;
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -1,6 +1,7 @@
 #include "Core/Edge/heartbeat_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace basilvalve::edge {
@@ -14,6 +15,7 @@
 // know them ignores them.
 constexpr size_t kPoisonIndex = 17;
 constexpr size_t kLeavingIndex = 18;
+constexpr size_t kLimitIndex = 19;
 
 // Bounds what a datagram can add to the state of its receiver.
 constexpr size_t kMaxPoisonRows = 64;
@@ -115,6 +117,19 @@
   return update;
 }
 
+flow::LimitReport ReadLimitReport(const json& row) {
+  flow::LimitReport report{flow::UpstreamShortId(row.at(0).get<uint64_t>()),
+                           row.at(1).get<int64_t>(),
+                           {},
+                           ReadMillis(row.at(2))};
+  if (row.size() > 3) {
+    auto per_second = row.at(3).get<double>();
+    report.limit = flow::CallsPerSecond(
+        std::isfinite(per_second) ? std::max(0.0, per_second) : 0);
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeHeartbeat(const flow::Heartbeat& heartbeat) {
@@ -151,6 +166,14 @@
   for (const flow::LeavingReport& it : heartbeat.leaving) {
     leaving.push_back({it.upstream.value(), it.started_at_ms, it.age.count()});
   }
+  json limits = json::array();
+  for (const flow::LimitReport& it : heartbeat.limits) {
+    json row = {it.upstream.value(), it.started_at_ms, it.age.count()};
+    if (it.limit) {
+      row.push_back(it.limit->value());
+    }
+    limits.push_back(std::move(row));
+  }
   const flow::InstanceRecord& from = heartbeat.from;
   json row = {kFormatVersion,
               from.id.value(),
@@ -169,13 +192,18 @@
               heartbeat.is_for_relay,
               heartbeat.catalog_revision,
               heartbeat.catalog_age.count()};
-  if (!heartbeat.poison.empty() || !heartbeat.leaving.empty()) {
+  bool has_limits = !limits.empty();
+  bool has_leaving = !leaving.empty() || has_limits;
+  if (!heartbeat.poison.empty() || has_leaving) {
     row.push_back(heartbeat.poison.empty() ? json::array()
                                            : EncodePoison(heartbeat.poison));
   }
-  if (!heartbeat.leaving.empty()) {
+  if (has_leaving) {
     row.push_back(std::move(leaving));
   }
+  if (has_limits) {
+    row.push_back(std::move(limits));
+  }
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -227,6 +255,11 @@
              it.at(1).get<int64_t>(), Millis(it.at(2).get<int64_t>())});
       }
     }
+    if (row.size() > kLimitIndex) {
+      for (const json& it : row.at(kLimitIndex)) {
+        heartbeat.limits.push_back(ReadLimitReport(it));
+      }
+    }
     return heartbeat;
   } catch (const json::exception&) {
     // Not a valid heartbeat; the caller counts and logs it.
--- a/Source/Core/Edge/notice_recorder.cc
+++ b/Source/Core/Edge/notice_recorder.cc
@@ -9,6 +9,14 @@
 
 using flow::NoticeSource;
 
+namespace {
+
+// The end of a limit is reported this long, so that lost heartbeats do not
+// leave an instance with the limit.
+constexpr Seconds kUnlimitedReportTime{30};
+
+}  // namespace
+
 NoticeRecorder::NoticeRecorder(flow::UpstreamRegistry* registry,
                                EdgeMetrics* metrics, UnwillingFn on_unwilling)
     : registry_(registry),
@@ -59,7 +67,17 @@
 
 void NoticeRecorder::OnResponse(const UpstreamId& id,
                                 flow::UpstreamNotice* notice,
-                                const ResponseInfo& response, Instant now) {
+                                const ResponseInfo& response, Instant sent_at,
+                                Instant now) {
+  // The upstream said it at some time between the two, so that a limit counts
+  // as late as possible, its absence as early.
+  if (response.named_call == NamedCall::kThis &&
+      (response.limit || response.is_unlimited)) {
+    OnLimit(id, notice,
+            {response.limit, NoticeSource::kResponse,
+             response.limit ? now : sent_at},
+            now);
+  }
   if (response.is_leaving) {
     OnLeaving(id, notice, NoticeSource::kResponse, now, now);
   }
@@ -75,6 +93,26 @@
   }
 }
 
+void NoticeRecorder::OnLimit(const UpstreamId& id, flow::UpstreamNotice* notice,
+                             const flow::UpstreamNotice::LimitWord& word,
+                             Instant now) {
+  if (!notice->OnLimit(word)) {
+    return;
+  }
+  metrics_->CountNotice(word.limit ? "limited" : "unlimited",
+                        SourceName(word.source));
+  LogEvent(LogLevel::kInfo, "edge",
+           word.limit ? "upstream_limited" : "upstream_unlimited")
+      .With("upstream", id.value())
+      .With("source", SourceName(word.source))
+      .With("age_ms", std::chrono::floor<Millis>(now - word.at).count())
+      .With("calls_per_s", word.limit ? word.limit->value() : 0)
+      .With("started_at_ms", notice->started_at_ms());
+  if (word.limit) {
+    on_unwilling_(id);
+  }
+}
+
 void NoticeRecorder::OnHopLeaving(const std::string& text, Instant now) {
   auto leaving = ParseHopLeaving(text);
   auto upstream = leaving ? registry_->Find(leaving->upstream) : nullptr;
@@ -96,6 +134,17 @@
   }
 }
 
+void NoticeRecorder::OnReports(const std::vector<flow::LimitReport>& reports,
+                               Instant now) {
+  for (const flow::LimitReport& report : reports) {
+    auto upstream = registry_->Find(report.upstream);
+    if (upstream && upstream->notice->Matches(report.started_at_ms)) {
+      OnLimit(upstream->record.id, upstream->notice.get(),
+              {report.limit, NoticeSource::kInstance, now - report.age}, now);
+    }
+  }
+}
+
 std::vector<flow::LeavingReport> NoticeRecorder::Reports(Instant now) const {
   std::vector<flow::LeavingReport> reports;
   for (const auto& [id, upstream] : registry_->all()) {
@@ -108,4 +157,19 @@
   return reports;
 }
 
+std::vector<flow::LimitReport> NoticeRecorder::LimitReports(Instant now) const {
+  std::vector<flow::LimitReport> reports;
+  for (const auto& [id, upstream] : registry_->all()) {
+    const auto& word = upstream->notice->limit_word();
+    if (!word || word->source != NoticeSource::kResponse ||
+        (!word->limit && now - word->at > kUnlimitedReportTime)) {
+      continue;
+    }
+    reports.push_back({flow::ShortIdOf(id), upstream->notice->started_at_ms(),
+                       word->limit,
+                       std::chrono::floor<Millis>(now - word->at)});
+  }
+  return reports;
+}
+
 }  // namespace basilvalve::edge
--- a/Source/Core/Flow/dispatcher_set.cc
+++ b/Source/Core/Flow/dispatcher_set.cc
@@ -109,8 +109,8 @@
   return owner != nullptr && owner->id == self_;
 }
 
-bool DispatcherSet::MayWarmUp(const UpstreamRecord& upstream,
-                              Instant now) const {
+bool DispatcherSet::MaySendLimited(const UpstreamRecord& upstream,
+                                   Instant now) const {
   return now - started_at_ >= kOwnershipDelay && Owns(upstream);
 }
 
--- a/Source/Core/Flow/dispatcher_set.h
+++ b/Source/Core/Flow/dispatcher_set.h
@@ -45,10 +45,11 @@
   const InstanceRecord* OwnerOf(const UpstreamRecord& upstream) const;
   /// Whether this instance owns the upstream.
   bool Owns(const UpstreamRecord& upstream) const;
-  /// Whether this instance may send to the upstream while that is cold. An
+  /// Whether this instance may send to the upstream while that is cold or
+  /// limited. An
   /// instance that started a moment ago may not: when many start together, each
   /// of them first knows only itself.
-  bool MayWarmUp(const UpstreamRecord& upstream, Instant now) const;
+  bool MaySendLimited(const UpstreamRecord& upstream, Instant now) const;
 
  private:
   InstanceId self_;
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -63,6 +63,18 @@
   Millis age{0};
 };
 
+/// A response's word on an upstream's limit, passed on by the instance that got
+/// the response.
+struct LimitReport {
+  UpstreamShortId upstream;
+  /// Start of the process that said so, Unix milliseconds; 0 if unknown.
+  int64_t started_at_ms = 0;
+  /// nullopt: it has no limit any more.
+  std::optional<CallsPerSecond> limit;
+  /// Time since it was said.
+  Millis age{0};
+};
+
 /// Interval between an instance's heartbeats to `neighbours` others of its
 /// region that all send to upstreams. Thread safe.
 Millis DirectHeartbeatInterval(size_t neighbours);
@@ -94,6 +106,8 @@
   bool is_for_relay = false;
   /// Upstreams that said they are leaving; sent only within the region.
   std::vector<LeavingReport> leaving;
+  /// Upstreams that stated a limit; sent only within the region.
+  std::vector<LimitReport> limits;
   /// Prompt parts that crash upstreams.
   PoisonReport poison;
 };
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -75,7 +75,7 @@
   std::vector<const Upstream*> available;
   for (const auto& upstream : candidates) {
     if (!upstream->notice->IsLeaving() && !registry.IsEvacuated(*upstream) &&
-        !upstream->IsCold(now)) {
+        !upstream->IsCold(now) && !upstream->IsLimited()) {
       available.push_back(upstream.get());
     }
   }
@@ -305,7 +305,8 @@
          !request.tried_upstreams->contains(upstream.record.id) &&
          IsReachable(request, upstream, now) &&
          HasCapacity(request, upstream, now) &&
-         (!upstream.IsCold(now) || cold_start_check_(cold_context_, upstream));
+         ((!upstream.IsCold(now) && !upstream.IsLimited()) ||
+          send_check_(send_context_, upstream));
 }
 
 std::optional<Placement> Placer::ChooseHome(const PlacementRequest& request,
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -77,19 +77,19 @@
   UpstreamRegistry::Ptr prompt_source;
 };
 
-/// Returns whether this instance may send one more call to a cold upstream.
-using ColdStartCheck = bool (*)(void* context, const Upstream& upstream);
+/// Returns whether this instance may send one more call to an upstream that is
+/// cold or limited.
+using SendCheck = bool (*)(void* context, const Upstream& upstream);
 
 /// Chooses the upstream with the lowest predicted cost among a random sample
 /// and those with cache affinity to the call's prompt. The result depends only
 /// on the arguments and the registry. Not thread safe.
 class Placer {
  public:
-  Placer(UpstreamRegistry* registry, void* cold_context,
-         ColdStartCheck cold_start_check)
+  Placer(UpstreamRegistry* registry, void* send_context, SendCheck send_check)
       : registry_(registry),
-        cold_context_(cold_context),
-        cold_start_check_(cold_start_check) {}
+        send_context_(send_context),
+        send_check_(send_check) {}
 
   /// The best upstream that accepts requests and has capacity; nullopt if there
   /// is none.
@@ -119,8 +119,8 @@
                    Instant now) const;
 
   UpstreamRegistry* registry_;
-  void* cold_context_;
-  ColdStartCheck cold_start_check_;
+  void* send_context_;
+  SendCheck send_check_;
 };
 
 }  // namespace basilvalve::flow
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -164,6 +164,7 @@
   /// tokens to prefill.
   LoadShare TotalLoad(Instant now, double mean_prefill_tokens) const;
   bool IsCold(Instant now) const { return now < cold_until; }
+  bool IsLimited() const { return notice->Limit().has_value(); }
   /// Whether the instance's latest report says that the upstream takes no
   /// calls.
   bool IsRejectedBy(const InstanceId& instance, Instant now) const;
--- a/Source/Core/Flow/upstream_notice.cc
+++ b/Source/Core/Flow/upstream_notice.cc
@@ -51,4 +51,14 @@
   return true;
 }
 
+bool UpstreamNotice::OnLimit(const LimitWord& word) {
+  bool is_older = limit_word_ && word.at <= limit_word_->at;
+  if (is_older || (!word.limit && !limit_word_)) {
+    return false;
+  }
+  bool was_limited = Limit().has_value();
+  limit_word_ = word;
+  return Limit().has_value() != was_limited;
+}
+
 }  // namespace basilvalve::flow
--- a/Source/Fakes/fake_dialect.cc
+++ b/Source/Fakes/fake_dialect.cc
@@ -44,7 +44,7 @@
 }
 
 bool FakeDialect::ForwardsResponseHeader(const std::string& header) const {
-  return header != "Leaving" && header != "Pause-Ms";
+  return header != "Leaving" && header != "Pause-Ms" && header != "Limit";
 }
 
 void FakeDialect::AppendHeaders(const SendParams& params,
@@ -76,6 +76,10 @@
   if (text != nullptr && head.status == 503) {
     info.pause = Millis(std::stoll(*text));
   }
+  if (const std::string* limit = head.Find("Limit")) {
+    info.limit = flow::CallsPerSecond(std::stod(*limit));
+  }
+  info.is_unlimited = !info.is_misdirected && !info.limit;
   return info;
 }
 
--- a/Source/UnitTests/Core/Edge/notice_test.cc
+++ b/Source/UnitTests/Core/Edge/notice_test.cc
@@ -572,6 +572,23 @@
   CHECK(fixture.Find("u1").notice->IsLeaving());
 }
 
+TEST_CASE("a heartbeat carries stated limits and their ends") {
+  flow::Heartbeat heartbeat;
+  heartbeat.limits = {
+      {flow::UpstreamShortId(7), 17, flow::CallsPerSecond(1.25), Millis(250)},
+      {flow::UpstreamShortId(8), 0, {}, Millis(5)}};
+  auto decoded = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+  REQUIRE(decoded);
+  CHECK(decoded->leaving.empty());
+  CHECK(decoded->poison.empty());
+  REQUIRE(decoded->limits.size() == 2);
+  CHECK(decoded->limits[0].upstream == flow::UpstreamShortId(7));
+  CHECK(decoded->limits[0].started_at_ms == 17);
+  CHECK(decoded->limits[0].limit == flow::CallsPerSecond(1.25));
+  CHECK(decoded->limits[0].age == Millis(250));
+  CHECK_FALSE(decoded->limits[1].limit);
+}
+
 TEST_CASE("a heartbeat carries who leaves, earlier builds' ones do not") {
   flow::Heartbeat heartbeat;
   heartbeat.leaving = {{flow::UpstreamShortId(7), 17, Millis(250)}};
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -1,10 +1,10 @@
 #include <catch2/catch.hpp>
 
-#include "Core/Flow/cold_start_limiter.h"
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
 #include "Core/Flow/event_splitter.h"
 #include "Core/Flow/fleet_retry_budget.h"
+#include "Core/Flow/send_limiter.h"
 
 namespace basilvalve::flow {
 namespace {
@@ -133,29 +133,32 @@
   return heartbeat;
 }
 
+const SendLimits kColdLimit{CallsPerSecond(2.4), {}};
+
 TEST_CASE("a cold upstream has one owner, and three keep the rate limit") {
   UpstreamRecord cold;
   cold.id = UpstreamId("u1");
   std::vector<InstanceRecord> members = {MakeInstance("i1", "north"),
                                          MakeInstance("i2", "north"),
                                          MakeInstance("i3", "north")};
-  ColdStartLimiter limiter;
+  SendLimiter limiter;
   int owners = 0;
   for (const InstanceRecord& self : members) {
     DispatcherSet set(self, kStart - Seconds(10));
     set.SetMembers(members);
-    owners += limiter.Allows(cold.id, 2.4, set.MayWarmUp(cold, kStart), kStart)
+    owners += limiter.Allows(cold.id, kColdLimit,
+                             set.MaySendLimited(cold, kStart), kStart)
                   ? 1
                   : 0;
   }
   CHECK(owners == 1);
   // Instances with incomplete views of the fleet all act as the owner.
-  std::vector<ColdStartLimiter> limiters(3);
+  std::vector<SendLimiter> limiters(3);
   std::vector<Instant> sent;
   for (int ms = 0; ms < 5000; ++ms) {
     Instant now = kStart + Millis(ms);
-    for (ColdStartLimiter& it : limiters) {
-      if (it.Allows(cold.id, 2.4, true, now)) {
+    for (SendLimiter& it : limiters) {
+      if (it.Allows(cold.id, kColdLimit, true, now)) {
         it.OnSent(cold.id, now);
         sent.push_back(now);
       }
--- a/Source/UnitTests/Core/Flow/large_region_test.cc
+++ b/Source/UnitTests/Core/Flow/large_region_test.cc
@@ -7,8 +7,8 @@
 
 #include "Core/Common/random.h"
 #include "Core/Flow/catalog_follower.h"
-#include "Core/Flow/cold_start_limiter.h"
 #include "Core/Flow/dispatcher_set.h"
+#include "Core/Flow/send_limiter.h"
 
 namespace basilvalve::flow {
 namespace {
@@ -43,7 +43,7 @@
 
   FleetView fleet;
   DispatcherSet roles;
-  ColdStartLimiter limiter;
+  SendLimiter limiter;
   Instant next_heartbeat;
   uint64_t sequence = 0;
   bool is_alive = true;
@@ -173,8 +173,9 @@
     region->Step(now);
     for (auto& member : region->members()) {
       if (member->is_alive &&
-          member->limiter.Allows(cold.id, kRate,
-                                 member->roles.MayWarmUp(cold, now), now)) {
+          member->limiter.Allows(cold.id, {CallsPerSecond(kRate), {}},
+                                 member->roles.MaySendLimited(cold, now),
+                                 now)) {
         member->limiter.OnSent(cold.id, now);
         sent.push_back(now);
       }
@@ -189,6 +190,61 @@
   }
 }
 
+// Plays calls to an upstream that stated a limit and counts those of each 4 s.
+void CheckStatedLimit(Region* region, CallsPerSecond limit,
+                      Millis kill_half_at) {
+  UpstreamRecord limited;
+  limited.id = UpstreamId("u1");
+  limited.data_centre = DataCentreId("north-a");
+  std::vector<Instant> sent;
+  for (Millis at{0}; at < Seconds(30); at += Millis(10)) {
+    Instant now = kStart + at;
+    if (at == kill_half_at) {
+      region->KillHalf(now);
+    }
+    region->Step(now);
+    for (auto& member : region->members()) {
+      if (member->is_alive &&
+          member->limiter.Allows(limited.id, {{}, limit},
+                                 member->roles.MaySendLimited(limited, now),
+                                 now)) {
+        member->limiter.OnSent(limited.id, now);
+        sent.push_back(now);
+      }
+    }
+  }
+  CHECK(static_cast<double>(sent.size()) >= 20 * limit.value());
+  for (Instant from : sent) {
+    auto count = std::count_if(sent.begin(), sent.end(), [from](Instant it) {
+      return it >= from && it < from + Seconds(4);
+    });
+    CHECK(static_cast<double>(count) <= 1.5 * limit.value() * 4 + 5);
+  }
+}
+
+// Guards against LIMIT: each instance keeps an upstream's limit by itself.
+TEST_CASE("the instances of a region keep a stated limit together") {
+  struct Row {
+    int instances;
+    double limit;
+    double loss;
+  };
+  for (const Row& row :
+       {Row{1, 0.5, 0}, Row{8, 0, 0.02}, Row{8, 0.5, 0.2}, Row{8, 10, 0.02},
+        Row{28, 1.2, 0.2}, Row{85, 0.1, 0.02}, Row{85, 1.2, 0.2},
+        Row{85, 10, 0.02}, Row{295, 0.5, 0.2}}) {
+    for (Millis kill_half_at : {Millis(-1), Millis(12'000)}) {
+      INFO(row.instances << " instances, limit " << row.limit << ", loss "
+                         << row.loss);
+      if (row.instances == 1 && kill_half_at > Millis(0)) {
+        continue;
+      }
+      Region region(row.instances, row.loss);
+      CheckStatedLimit(&region, CallsPerSecond(row.limit), kill_half_at);
+    }
+  }
+}
+
 TEST_CASE("a cold upstream keeps its rate while many instances disappear") {
   for (int n : {8, 28, 107}) {
     INFO(n << " instances");
--- a/Source/UnitTests/Platform/wire_notice_test.cc
+++ b/Source/UnitTests/Platform/wire_notice_test.cc
@@ -62,6 +62,56 @@
   }
 }
 
+TEST_CASE("a response states one limit at most, unreadable ones are none") {
+  struct Row {
+    const char* name;
+    std::vector<std::string> values;
+    std::optional<double> limit;
+  };
+  const std::vector<Row> rows = {
+      {"whole", {"2"}, 2},
+      {"fraction", {"0.25"}, 0.25},
+      {"no leading digit", {".5"}, 0.5},
+      {"spaces", {" 1.2 "}, 1.2},
+      {"zero", {"0"}, 0},
+      {"zero, fraction", {"0.000"}, 0},
+      {"huge", {"99999999999999999999"}, 1e6},
+      {"beyond any number", {std::string(400, '9')}, 1e6},
+      {"negative", {"-3"}, {}},
+      {"negative zero", {"-0"}, {}},
+      {"huge and negative", {"-" + std::string(400, '9')}, {}},
+      {"empty", {""}, {}},
+      {"words", {"few"}, {}},
+      {"unit", {"2/s"}, {}},
+      {"exponent", {"1e3"}, {}},
+      {"hexadecimal", {"0x10"}, {}},
+      {"infinity", {"inf"}, {}},
+      {"not a number", {"nan"}, {}},
+      {"two numbers", {"2 3"}, {}},
+      {"several headers", {"3", "1.5", "2"}, 1.5},
+      {"several headers, one unreadable", {"x", "1.5"}, 1.5},
+      {"a list", {"4, 3"}, 3},
+      {"a list with gaps", {",4,,"}, 4},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    std::vector<net::HeaderField> fields;
+    for (const std::string& value : row.values) {
+      fields.push_back({"server-limit", value});
+    }
+    for (int status : {200, 404, 429, 500, 503}) {
+      edge::ResponseInfo info = Parse(status, fields);
+      CHECK(info.limit.has_value() == row.limit.has_value());
+      CHECK((!row.limit || info.limit->value() == *row.limit));
+      CHECK_FALSE(info.is_unlimited);
+    }
+  }
+  CHECK(Parse(200, {}).is_unlimited);
+  // Another process answers at the address.
+  CHECK_FALSE(Parse(421, {}).is_unlimited);
+  CHECK_FALSE(Parse(421, {{"Server-Limit", "2"}}).limit);
+}
+
 TEST_CASE("any response of an upstream may say that it is leaving") {
   for (int status : {200, 404, 429, 500, 503, 504}) {
     INFO(status);
@@ -82,6 +132,7 @@
   net::MessageHead response;
   response.status = 200;
   response.fields = {{"Server-Leaving", "1"},
+                     {"Server-Limit", "1.5"},
                      {"RETRY-AFTER", "3"},
                      {"Basilvalve-Leaving", "u1 0"},
                      {"basilvalve-outcome", "not-run"},
