TWICE: an attempt that was given up leaves no bytes to arrive late

Cause: a cancelled attempt closed its connection in order, so that the kernel went on sending what its receiver had not taken. A receiver that reads late, or is reached again after a cut, then read the whole request and began the call, while it had been sent elsewhere or its caller had gone. Change: ClientConnection::Abort, used by Exchange::CancelAttempt, resets the connection if the receiver has not acknowledged all bytes; else it closes in order, since a lost end is sent again and a lost reset is not.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -938,7 +938,7 @@
       components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
     }
   }
-  attempt_.connection->Close();
+  attempt_.connection->Abort();
   attempt_.connection = nullptr;
 }
 
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -301,6 +301,13 @@
   }
 }
 
+void ClientConnection::Abort() {
+  if (socket_ && !closed_) {
+    socket_->DropUnacknowledged();
+  }
+  Close();
+}
+
 void ClientConnection::Close() {
   observer_ = nullptr;
   closed_ = true;
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -69,6 +69,9 @@
   }
   /// Closes the connection without calling the observer. Not thread safe.
   void Close();
+  /// Close for a request that was given up: what the server has not received
+  /// yet is dropped instead of sent before the end. Not thread safe.
+  void Abort();
   /// Stops reading until Resume, so that TCP flow control slows the server
   /// down. Not thread safe.
   void Pause() { paused_ = true; }
@@ -87,6 +90,9 @@
   bool has_sent() const {
     return write_buffer_.total_written() > written_at_send_;
   }
+  /// Whether all bytes of the current request were written to the socket. Not
+  /// thread safe.
+  bool has_written_all() const { return has_sent() && write_buffer_.empty(); }
   /// When the last response completed or, before that, when the connection was
   /// established. Not thread safe.
   Instant idle_since() const { return idle_since_; }
--- a/Source/Core/Net/socket.cc
+++ b/Source/Core/Net/socket.cc
@@ -1,6 +1,8 @@
 #include "Core/Net/socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <charconv>
 
@@ -196,6 +198,18 @@
   impl_->stream.shutdown(tcp::socket::shutdown_send, ec);
 }
 
+void Socket::DropUnacknowledged() {
+  int unacknowledged = 0;
+  if (!impl_->stream.is_open() ||
+      ioctl(impl_->stream.native_handle(), SIOCOUTQ, &unacknowledged) != 0 ||
+      unacknowledged == 0) {
+    // A reset is sent once; an end is sent again if it is lost.
+    return;
+  }
+  error_code ec;
+  impl_->stream.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 void Socket::Close() {
   impl_->on_connect = nullptr;
   impl_->on_readable = nullptr;
--- a/Source/Core/Net/socket.h
+++ b/Source/Core/Net/socket.h
@@ -60,6 +60,9 @@
   /// Shuts down the sending direction; the peer reads the end of the stream.
   /// Not thread safe.
   void ShutdownWrite();
+  /// If the peer has not acknowledged all written bytes, makes Close drop them
+  /// and reset the connection. Not thread safe.
+  void DropUnacknowledged();
   /// Closes the connection; with unread bytes, the peer receives a reset. Not
   /// thread safe.
   void Close();
--- a/Source/UnitTests/Core/Net/client_connection_test.cc
+++ b/Source/UnitTests/Core/Net/client_connection_test.cc
@@ -1,6 +1,8 @@
 #include "Core/Net/client_connection.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
+#include <vector>
 
 #include "UnitTests/Core/Net/test_server.h"
 
@@ -105,5 +107,45 @@
   CHECK(second.statuses == std::vector<int>{200});
 }
 
+// Guards against TWICE: a call that was given up begins late at its receiver.
+TEST_CASE(
+    "an aborted request does not complete at a receiver that reads late") {
+  EventLoop loop;
+  std::unique_ptr<Socket> receiver;
+  auto listener = Listener::Create(
+      &loop, {"127.0.0.1", 0}, Millis(2000),
+      [&](std::unique_ptr<Socket> socket) { receiver = std::move(socket); });
+  REQUIRE(listener);
+  auto connection = ClientConnection::Open(&loop, (*listener)->LocalEndpoint(),
+                                           Millis(1000), Millis(1000));
+  REQUIRE(loop.RunUntil(
+      [&] { return receiver != nullptr && connection->is_connected(); },
+      kWaitTimeout));
+  // More than the receiver's buffer holds, less than both buffers do.
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" +
+      std::string(1'000'000, 'x');
+  RecordingObserver observer;
+  connection->Send(request, &observer);
+  REQUIRE(loop.RunUntil([&] { return connection->has_written_all(); },
+                        kWaitTimeout));
+  connection->Abort();
+  std::vector<char> buf(size_t{64} * 1024);
+  size_t received = 0;
+  bool has_ended = false;
+  std::function<void()> read = [&] {
+    IoResult got = receiver->Read(buf);
+    received += got.bytes;
+    has_ended = got.status == IoStatus::kEof || got.status == IoStatus::kReset;
+    if (!has_ended) {
+      receiver->WaitReadable(read);
+    }
+  };
+  receiver->WaitReadable(read);
+  REQUIRE(loop.RunUntil([&] { return has_ended; }, kWaitTimeout));
+  CHECK(received < request.size());
+  CHECK_FALSE(observer.has_ended);
+}
+
 }  // namespace
 }  // namespace basilvalve::net
