GONE: a call whose sender has gone before it was read is not begun

Cause: a process that was paused or late reads a request and only in the next turn the end of its connection, though both have arrived. The call was sent to an upstream and cancelled after it had begun; its sender had given it up and sent it elsewhere. Change: before each dispatch an exchange asks its connection whether the other side has closed, which reads what has arrived. A call that must run once and comes from a caller is begun as before, since its caller may have closed its side only and wait; an instance never does. Conclusion: costs one read that finds nothing for each dispatched call; not measured.

--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -83,11 +83,22 @@
   return PlanCall(components_, context_, params_, progress_);
 }
 
+bool Exchange::IsUnwanted() {
+  // A caller may have closed its side only and wait; an instance never does.
+  bool may_still_wait = !context_.is_from_peer &&
+                        context_.route->kind == flow::CallKind::kNonIdempotent;
+  return !may_still_wait && caller_->HasPeerClosed();
+}
+
 void Exchange::Dispatch() {
   if (TimeLeft() <= Millis::zero()) {
     OnDeadline();
     return;
   }
+  if (IsUnwanted()) {
+    OnCallerDisconnected();
+    return;
+  }
   Execute(Plan());
 }
 
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -52,6 +52,9 @@
   void OnError(net::ClientError client_error) override;
 
  private:
+  /// Whether the sender of the call has gone, so that its response is not
+  /// wanted any more.
+  bool IsUnwanted();
   void Dispatch();
   /// Ends the call with a failure that tells whether it may have run.
   void GiveUp(std::string_view reason);
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -242,6 +242,18 @@
   return {write_buffer_.size(), discarded_bytes_};
 }
 
+bool ServerConnection::HasPeerClosed() {
+  while (!terminated_ && unparsed_.size() < kMaxPipelinedBytes) {
+    auto buf = loop_->scratch();
+    IoResult got = socket_->Read(buf);
+    if (got.status != IoStatus::kDone) {
+      return got.status != IoStatus::kBlocked;
+    }
+    unparsed_.append(buf.data(), got.bytes);
+  }
+  return terminated_;
+}
+
 bool ServerConnection::is_write_buffer_full() const {
   return write_buffer_.size() > kWriteBufferHighWatermark;
 }
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -94,6 +94,9 @@
   /// Whether a request was received, even partially, and its response is not
   /// complete. Not thread safe.
   bool busy() const { return handling_ || parsing_; }
+  /// Whether the other side has closed or broken the connection, also if the
+  /// loop has not reported it yet. Not thread safe.
+  bool HasPeerClosed();
   /// Whether the next response has to carry "Connection: close". Not thread
   /// safe.
   bool is_closing() const { return close_when_idle_; }
--- a/Source/UnitTests/Core/Edge/given_up_test.cc
+++ b/Source/UnitTests/Core/Edge/given_up_test.cc
@@ -230,5 +230,43 @@
   }
 }
 
+// Guards against TWICE and GONE: a process that was paused reads a request and
+// the end of its connection together.
+TEST_CASE("a call whose sender has gone before it was read is not begun") {
+  struct Row {
+    const char* path;
+    bool is_peer;
+    bool is_begun;
+  };
+  for (const Row& row :
+       {Row{"/again/", false, false}, Row{"/stream/", false, false},
+        Row{"/single/", false, false}, Row{"/once/", true, false},
+        Row{"/again/", true, false}, Row{"/stream/", true, false},
+        Row{"/single/", true, false},
+        // The caller may have closed its side only.
+        Row{"/once/", false, true}}) {
+    INFO(row.path << (row.is_peer ? " from a peer" : " from a caller"));
+    EdgeFixture fixture("north", net::TimeSource::kVirtual);
+    fixture.ApplyDesiredState();
+    fixture.AddUpstream("u1", RespondOk);
+    RawCaller caller(&fixture.loop, row.is_peer
+                                        ? fixture.node->peer_endpoint()
+                                        : fixture.node->public_endpoint());
+    fixture.RunFor(Millis(50));
+    HopParams hop;
+    hop.service = ServiceName("service");
+    hop.time_left = hop.response_time_left = Millis(2000);
+    // The instance does not run meanwhile.
+    caller.Send(EdgeFixture::Request(
+        row.path, "r1", "",
+        row.is_peer
+            ? std::string(kHopHeader) + ": " + FormatHopHeader(hop) + "\r\n"
+            : ""));
+    caller.Close();
+    fixture.RunFor(Millis(500));
+    CHECK(fixture.upstreams[0]->requests().size() == (row.is_begun ? 1 : 0));
+  }
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
