Fleet: late heartbeats of a process that has ended do not bring it back

Cause: a heartbeat of an earlier incarnation was accepted as soon as the known one had been silent for 0.4 s, which is common between regions and always so for an instance that sends no heartbeats. One that came late, for instance relayed by an instance that was paused, put back the ended process's state: draining, its address, its capacities. For an instance that sends no heartbeats this lasted until its next registration. Change: an earlier incarnation, which may be a restart with a clock set back, is accepted only if its heartbeats go on arriving, with rising sequence numbers, for as long as the known one has to be silent. Conclusion: a restart with a clock set back is known some 0.4 s later than before if the store does not tell of it first.

--- a/Source/Core/Flow/fleet_view.cc
+++ b/Source/Core/Flow/fleet_view.cc
@@ -17,7 +17,7 @@
 // instances that start at the same time register before their first heartbeat.
 constexpr Millis kRegistrationGrace{2500};
 // An older incarnation is accepted after this long without heartbeats from the
-// known one; a restart takes longer.
+// known one, while its own arrive; a restart takes longer.
 constexpr Millis kRestartTakeoverDelay{400};
 // An unregistered instance is removed after this long without heartbeats.
 constexpr Millis kRecordRetention{4000};
@@ -47,6 +47,20 @@
          now - *instance.last_heartbeat_at > kRestartTakeoverDelay;
 }
 
+bool FleetView::ConfirmsRestart(KnownInstance* instance,
+                                const Heartbeat& heartbeat, Instant now) {
+  auto& earlier = instance->earlier;
+  if (!earlier || earlier->incarnation != heartbeat.from.incarnation) {
+    earlier = {heartbeat.from.incarnation, heartbeat.sequence, now};
+    return false;
+  }
+  if (heartbeat.sequence <= earlier->sequence) {
+    return false;
+  }
+  earlier->sequence = heartbeat.sequence;
+  return now - earlier->first_heard_at > kRestartTakeoverDelay;
+}
+
 void FleetView::Register(const InstanceRecord& record, Instant now) {
   if (record.id == self_.id) {
     return;
@@ -85,14 +99,17 @@
     return false;
   }
   KnownInstance& instance = instances_[heartbeat.from.id];
-  if (instance.record.incarnation != heartbeat.from.incarnation &&
-      !Supersedes(instance, heartbeat.from.incarnation, now)) {
-    return false;
+  if (heartbeat.from.incarnation < instance.record.incarnation) {
+    bool is_restart = ConfirmsRestart(&instance, heartbeat, now);
+    if (!is_restart || !Supersedes(instance, heartbeat.from.incarnation, now)) {
+      return false;
+    }
   }
   if (instance.record.incarnation == heartbeat.from.incarnation &&
       instance.sequence >= heartbeat.sequence) {
     return false;
   }
+  instance.earlier.reset();
   instance.record = heartbeat.from;
   instance.sequence = heartbeat.sequence;
   instance.last_heartbeat_at = now;
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -172,6 +172,14 @@
   const InstanceRecord& self() const { return self_; }
 
  private:
+  /// Heartbeats of an earlier incarnation, which are late ones of a process
+  /// that has ended or show a restart whose clock was set back.
+  struct EarlierIncarnation {
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    Instant first_heard_at;
+  };
+
   struct KnownInstance {
     InstanceRecord record;
     bool is_registered = false;
@@ -185,10 +193,16 @@
     Instant expected_since;
     uint64_t sequence = 0;
     std::map<ServiceName, ServiceCapacity> service_capacities;
+    /// Heard since the last heartbeat of the known incarnation.
+    std::optional<EarlierIncarnation> earlier;
   };
 
   static bool Supersedes(const KnownInstance& instance, uint64_t incarnation,
                          Instant now);
+  /// Whether heartbeats of an earlier incarnation go on arriving, so that they
+  /// are no late ones.
+  static bool ConfirmsRestart(KnownInstance* instance,
+                              const Heartbeat& heartbeat, Instant now);
   bool IsLive(const KnownInstance& instance, Instant now) const;
   Micros RegionTimeout() const;
 
--- a/Source/UnitTests/Core/Flow/flow_test.cc
+++ b/Source/UnitTests/Core/Flow/flow_test.cc
@@ -221,6 +221,47 @@
   CHECK(entries[0].public_address == "other:81");
 }
 
+// Guards against a running instance that counts as draining, or as elsewhere.
+TEST_CASE("late heartbeats of a process that has ended do not bring it back") {
+  struct Row {
+    const char* name;
+    bool is_quiet;
+    Millis silence;
+    std::vector<uint64_t> sequences;
+  };
+  const std::vector<Row> rows = {
+      {"one, between two heartbeats", false, Millis(500), {7}},
+      {"some at once", false, Millis(500), {7, 8, 9}},
+      {"reordered", false, Millis(500), {9, 8, 7}},
+      {"one, to an instance that sends none", true, Millis(5000), {7}},
+      {"some, to an instance that sends none", true, Millis(5000), {7, 8, 9}},
+  };
+  const RegionId north("north");
+  for (const Row& row : rows) {
+    INFO(row.name);
+    FleetView view(MakeInstance("me", "north"));
+    InstanceRecord current = MakeInstance("other", "north");
+    InstanceRecord ended = current;
+    ended.incarnation = 50;
+    ended.public_address = "other:81";
+    ended.is_draining = true;
+    view.Register(current, kStart);
+    if (row.is_quiet) {
+      view.SetExpectedSenders({}, kStart);
+    } else {
+      view.SetExpectedSenders({current.id}, kStart);
+      REQUIRE(view.OnHeartbeat(MakeHeartbeat(current, 1), kStart));
+    }
+    Instant at = kStart + row.silence;
+    for (uint64_t sequence : row.sequences) {
+      CHECK_FALSE(view.OnHeartbeat(MakeHeartbeat(ended, sequence), at));
+    }
+    auto routable = view.RoutableInstances(north, at);
+    REQUIRE(routable.size() == 2);
+    CHECK(routable[1].public_address == current.public_address);
+  }
+}
+
 Forecast MakeForecast(Millis first, Millis end, double time_per_token = 0) {
   Forecast forecast;
   forecast.first_byte = first;
