TWICE: bytes on a new connection before its call do not answer it

Callers saw: nothing known; the table of what a connection says found it. Cause: only a connection that was idle was read before a request is written to it. Change: a new one is read, too.

--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -60,7 +60,9 @@
   }
   connected_ = true;
   idle_since_ = loop_->Now();
-  Flush();
+  if (observer_ != nullptr) {
+    FlushOnIdle();
+  }
   if (!closed_) {
     WaitForBytes();
   }
--- a/Source/UnitTests/Core/Edge/not_run_test.cc
+++ b/Source/UnitTests/Core/Edge/not_run_test.cc
@@ -207,6 +207,18 @@
   }
 }
 
+// Guards against TWICE and REFUSED: an answer that came before its call.
+TEST_CASE("words on a new connection before the call do not answer it") {
+  for (bool has_other : {false, true}) {
+    for (CallRoute route : kRoutes) {
+      CheckAll(When::kAccepted, route, Hops::kUpstream, has_other);
+    }
+    for (CallRoute route : {CallRoute::kOnce, CallRoute::kSingle}) {
+      CheckAll(When::kAccepted, route, Hops::kPeer, has_other);
+    }
+  }
+}
+
 // Guards against TWICE and REFUSED: a refusal that is not this call's.
 TEST_CASE("only words in a call's name answer it") {
   for (CallRoute route : kRoutes) {
