--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -893,7 +893,7 @@
       return;
     }
     CancelAttempt();
-    SendFailure(502, {}, "upstream_silent");
+    SendFailure(runs_.MayHaveRun() ? 502 : 503, {}, "upstream_silent");
     return;
   }
   // A silent upstream may still answer, so it is given up only for another
--- a/Source/UnitTests/Core/Edge/unsent_test.cc
+++ b/Source/UnitTests/Core/Edge/unsent_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "Core/Edge/heartbeat_codec.h"
+#include "Core/Edge/hop_header.h"
 #include "UnitTests/Core/Edge/edge_fixture.h"
 #include "UnitTests/Core/Edge/raw_server.h"
 
@@ -131,5 +132,33 @@
   }
 }
 
+// Guards against a 502 for a call that its owner has not sent.
+TEST_CASE("an owner hands an unsent call back as unsent") {
+  UnsentFixture fixture(Millis(3000));
+  ScriptedUpstream other(
+      &fixture.loop, "u2",
+      [](const net::ServerConnection::Ptr&, const net::ServerRequest&) {});
+  HopParams hop;
+  hop.service = ServiceName("service");
+  hop.kind = flow::CallKind::kStream;
+  hop.is_resumable = true;
+  hop.time_left = hop.response_time_left = Millis(3000);
+  hop.target_left = Millis(1000);
+  hop.is_last_hop = true;
+  hop.can_sender_retry = true;
+  RawCaller caller(&fixture.loop, fixture.node->peer_endpoint());
+  caller.Send(EdgeFixture::Request(
+      "/stream/", "r1", "",
+      std::string(kHopHeader) + ": " + FormatHopHeader(hop) + "\r\n"));
+  REQUIRE(
+      fixture.RunUntil([&] { return fixture.node->calls_in_flight() == 1; }));
+  fixture.node->registry().Upsert(other.Record(ServiceName("service")),
+                                  fixture.loop.Now());
+  CHECK(fixture.RunUntil([&] { return HasHead(caller); }));
+  CHECK(caller.text().starts_with("HTTP/1.1 503"));
+  CHECK(caller.text().find(std::string(kHopOutcomeHeader) + ": not-run") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
