Placement: the longest calls use what an upstream's limit allows

Cause: with most upstreams limited, the others are overloaded; short calls used the few calls that a limit allows and took little load off the others. Limited upstreams were no homes of prompts, so that their kept parts were read again elsewhere. Change: a call shorter than the mean prompt costs more at a limited upstream; limited upstreams stay homes.

--- a/Source/Core/Edge/notice_recorder.cc
+++ b/Source/Core/Edge/notice_recorder.cc
@@ -106,7 +106,8 @@
       .With("upstream", id.value())
       .With("source", SourceName(word.source))
       .With("age_ms", std::chrono::floor<Millis>(now - word.at).count())
-      .With("calls_per_s", word.limit ? word.limit->value() : 0)
+      .With("calls_per_s",
+            word.limit ? std::to_string(word.limit->value()) : "any")
       .With("started_at_ms", notice->started_at_ms());
   if (word.limit) {
     on_unwilling_(id);
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -40,6 +40,9 @@
 constexpr double kUnreportedSendWeight = 4;
 // Delay of other calls counts like delay of the call itself.
 constexpr double kInterferenceWeight = 1;
+// Cost of using one call of a stated limit for a call without a prompt, which
+// takes little load off the other upstreams.
+constexpr double kLimitedCost = 1;
 // Lower bound for the time to objective and deadline, so that a call that is
 // already late still goes to the fastest upstream.
 constexpr Micros kMinObjective{Millis(100)};
@@ -75,7 +78,7 @@
   std::vector<const Upstream*> available;
   for (const auto& upstream : candidates) {
     if (!upstream->notice->IsLeaving() && !registry.IsEvacuated(*upstream) &&
-        !upstream->IsCold(now) && !upstream->IsLimited()) {
+        !upstream->IsCold(now)) {
       available.push_back(upstream.get());
     }
   }
@@ -309,6 +312,17 @@
           send_check_(send_context_, upstream));
 }
 
+// The limit that an upstream states counts calls, whatever their size, so the
+// shorter ones go elsewhere if that is possible.
+double Placer::LimitedCost(const PlacementRequest& request,
+                           const Upstream& upstream) const {
+  double mean = registry_->ProfileOf(request.service).mean_prefill_tokens;
+  if (!upstream.IsLimited() || !request.size->IsModelCall() || mean <= 0) {
+    return 0;
+  }
+  return kLimitedCost * std::max(0.0, 1 - request.size->tokens_in / mean);
+}
+
 std::optional<Placement> Placer::ChooseHome(const PlacementRequest& request,
                                             const PromptLocations& locations,
                                             Instant now) const {
@@ -359,7 +373,8 @@
     }
     Placement placement = Evaluate(request, upstream, locations, now);
     placement.forecast.failure_rate = upstream->failures.At(now);
-    double cost = PlacementCost(request, placement.forecast);
+    double cost = PlacementCost(request, placement.forecast) +
+                  LimitedCost(request, *upstream);
     bool is_better =
         !best || cost < lowest_cost ||
         (cost == lowest_cost &&
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -113,6 +113,8 @@
   std::optional<Placement> ChooseHome(const PlacementRequest& request,
                                       const PromptLocations& locations,
                                       Instant now) const;
+  double LimitedCost(const PlacementRequest& request,
+                     const Upstream& upstream) const;
   Forecast Predict(const PlacementRequest& request, const Upstream& upstream,
                    double prefill_tokens, Instant now) const;
   bool HasCapacity(const PlacementRequest& request, const Upstream& upstream,
--- a/Source/UnitTests/Core/Flow/placement_test.cc
+++ b/Source/UnitTests/Core/Flow/placement_test.cc
@@ -83,6 +83,11 @@
        [](PlacerFixture* b, UpstreamRecord* r) {
          b->registry.SetEvacuated({r->data_centre});
        }},
+      {"limited and owned by another instance",
+       [](PlacerFixture* b, UpstreamRecord* r) {
+         b->registry.Find(r->id)->notice->OnLimit(
+             {CallsPerSecond(5), NoticeSource::kInstance, kStart});
+       }},
       {"cold and owned by another instance",
        [](PlacerFixture* b, UpstreamRecord* r) {
          r->cold_remaining = Seconds(3);
@@ -125,6 +130,31 @@
   }
 }
 
+TEST_CASE("the calls that an upstream's limit allows are the longest ones") {
+  for (uint32_t tokens : {600U, 12'000U}) {
+    INFO(tokens << " tokens");
+    PlacerFixture fixture;
+    fixture.cold_allowed = true;
+    auto limited = fixture.registry.Find(fixture.Add("limited").id);
+    auto other = fixture.registry.Find(fixture.Add("other").id);
+    for (int i = 0; i < 200; ++i) {
+      fixture.registry.OnPromptSent(*other, {{9, 6000}}, 6000, 100'000);
+    }
+    limited->notice->OnLimit(
+        {CallsPerSecond(5), NoticeSource::kResponse, kStart});
+    other->own_load = {1, 3000, 6000};
+    fixture.size.tokens_in = tokens;
+    fixture.size.parts = {{1, tokens}};
+    auto placement = fixture.Choose();
+    REQUIRE(placement);
+    CHECK(placement->upstream->record.id.value() ==
+          (tokens == 600 ? "other" : "limited"));
+    // Rather than nowhere, a short call is sent within the limit, too.
+    fixture.registry.Remove(UpstreamId("other"));
+    CHECK(fixture.Choose());
+  }
+}
+
 TEST_CASE("a restarted upstream has an empty prompt cache") {
   PlacerFixture fixture;
   UpstreamRecord record = fixture.Add("u1");
