Test: a soak of gateways as processes of their own

Change: basilvalve-process-soak starts the gateways' program on loopback addresses of its own and plays the store, workers and clients itself, with a proxy in front of each worker, each gateway's public and peer address and each gateway's connection to the store, and a relay for datagrams. Troubles are drawn from a seed and overlap.

--- /dev/null
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "BasilvalveProcessSoak/channel.h"
+#include "BasilvalveProcessSoak/datagram_relay.h"
+#include "BasilvalveProcessSoak/ledger.h"
+#include "BasilvalveProcessSoak/proxy.h"
+#include "UnitTests/Platform/Soak/platform_words.h"
+#include "UnitTests/Platform/Soak/store_stand_in.h"
+
+namespace basilvalve::process_soak {
+
+/// The gateways' processes, each with proxies in front of its public address,
+/// its peer address and the store. Restarts processes that ended. Thread safe.
+class GatewayFleet {
+ public:
+  struct Gateway {
+    GatewayPlace place;
+    std::unique_ptr<Proxy> front;
+    std::unique_ptr<Proxy> peer;
+    std::unique_ptr<Proxy> store;
+    pid_t pid = -1;
+    int64_t start_at_ms = 0;
+    int64_t kill_at_ms = 0;
+  };
+
+  GatewayFleet(std::string program, StoreStandIn* store, Ledger* ledger)
+      : program_(std::move(program)), store_(store), ledger_(ledger) {}
+
+  /// `regions`: data centre to region; one gateway for each entry of `zones`.
+  bool Create(const std::map<std::string, std::string>& regions,
+              const std::vector<std::string>& zones, uint64_t seed);
+  bool StartAll(int ready_timeout_ms);
+  void Signal(size_t i, int number);
+  /// Ends all processes.
+  void Stop();
+  /// Copies the gateways' logs.
+  void KeepLogs(const std::string& folder) const;
+  /// Name of the gateway whose process holds the local TCP port; empty if none.
+  std::string OwnerOfPort(int port);
+  /// The vector does not change after Create.
+  std::vector<Gateway>& gateways() { return gateways_; }
+  DatagramRelay& datagrams() { return datagrams_; }
+
+ private:
+  bool Launch(Gateway* gateway);
+  void Watch();
+  bool IsReady(const GatewayPlace& place) const;
+  std::string Path(const Gateway& gateway, const char* ending) const;
+
+  std::string program_;
+  StoreStandIn* store_;
+  Ledger* ledger_;
+  std::string folder_;
+  Listener store_listener_;
+  DatagramRelay datagrams_;
+  std::mutex mutex_;
+  std::vector<Gateway> gateways_;
+  bool is_stopping_ = false;
+};
+
+}  // namespace basilvalve::process_soak
