Test: the process soak asks the kernel for one socket, not for all

Cause: the sender of a call was looked up in the table of all sockets of the machine, which had 132,350 lines; three runs at once took more than three cores and had 427 to 1,587 threads.

Change: a socket is looked up by its two ports through sock_diag.

--- a/Source/BasilvalveProcessSoak/gateway_fleet.cc
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.cc
@@ -1,15 +1,19 @@
 #include "BasilvalveProcessSoak/gateway_fleet.h"
 
 #include <fcntl.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace basilvalve::process_soak {
@@ -24,34 +28,43 @@
 constexpr int64_t kStoreMs = 4;
 constexpr int64_t kTickMs = 10;
 
-// Inode of the socket with this local port; 0 if there is none.
-std::string InodeOfPort(int port) {
-  std::ifstream in("/proc/net/tcp");
-  std::string line;
-  char wanted[8];
-  snprintf(wanted, sizeof(wanted), ":%04X", port);
-  while (std::getline(in, line)) {
-    std::istringstream words(line);
-    std::string slot;
-    std::string local;
-    std::string word;
-    words >> slot >> local;
-    if (!local.ends_with(wanted)) {
-      continue;
-    }
-    for (int i = 0; i < 8; ++i) {
-      words >> word;
-    }
-    if (word != "0") {
-      return word;
-    }
+// Inode of the loopback socket with these ports; 0 if there is none. Asks for
+// the one socket, as the list of all may be long.
+uint32_t InodeOf(int local_port, int remote_port) {
+  struct {
+    nlmsghdr header{};
+    inet_diag_req_v2 request{};
+  } query;
+  query.header.nlmsg_len = sizeof(query);
+  query.header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+  query.header.nlmsg_flags = NLM_F_REQUEST;
+  query.request.sdiag_family = AF_INET;
+  query.request.sdiag_protocol = IPPROTO_TCP;
+  query.request.idiag_states = UINT32_MAX;
+  inet_diag_sockid& id = query.request.id;
+  id.idiag_sport = htons(static_cast<uint16_t>(local_port));
+  id.idiag_dport = htons(static_cast<uint16_t>(remote_port));
+  id.idiag_src[0] = htonl(INADDR_LOOPBACK);
+  id.idiag_dst[0] = htonl(INADDR_LOOPBACK);
+  id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+  id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  int fd = socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  alignas(nlmsghdr) char buf[1024];
+  ssize_t n = send(fd, &query, sizeof(query), 0) > 0
+                  ? recv(fd, buf, sizeof(buf), 0)
+                  : -1;
+  close(fd);
+  const auto* header = reinterpret_cast<const nlmsghdr*>(buf);
+  if (n < static_cast<ssize_t>(NLMSG_LENGTH(sizeof(inet_diag_msg))) ||
+      header->nlmsg_type != SOCK_DIAG_BY_FAMILY) {
+    return 0;
   }
-  return "";
+  return static_cast<const inet_diag_msg*>(NLMSG_DATA(header))->idiag_inode;
 }
 
-bool HoldsSocket(pid_t pid, const std::string& inode) {
+bool HoldsSocket(pid_t pid, uint32_t inode) {
   std::error_code ec;
-  std::string wanted = "socket:[" + inode + "]";
+  std::string wanted = "socket:[" + std::to_string(inode) + "]";
   for (const auto& it : std::filesystem::directory_iterator(
            "/proc/" + std::to_string(pid) + "/fd", ec)) {
     if (std::filesystem::read_symlink(it.path(), ec).string() == wanted) {
@@ -231,6 +244,11 @@
   }
 }
 
+void GatewayFleet::RemoveFiles() const {
+  std::error_code ec;
+  std::filesystem::remove_all(folder_, ec);
+}
+
 void GatewayFleet::KeepLogs(const std::string& folder) const {
   for (const Gateway& gateway : gateways_) {
     std::ifstream in(Path(gateway, ".log"));
@@ -238,8 +256,8 @@
   }
 }
 
-std::string GatewayFleet::OwnerOfPort(int port) {
-  std::string inode = port == 0 ? "" : InodeOfPort(port);
+std::string GatewayFleet::OwnerOf(int local_port, int remote_port) {
+  uint32_t inode = InodeOf(local_port, remote_port);
   std::vector<std::pair<pid_t, std::string>> processes;
   {
     std::lock_guard lock(mutex_);
@@ -248,7 +266,7 @@
     }
   }
   for (const auto& [pid, name] : processes) {
-    if (!inode.empty() && pid > 0 && HoldsSocket(pid, inode)) {
+    if (inode != 0 && pid > 0 && HoldsSocket(pid, inode)) {
       return name;
     }
   }
--- a/Source/BasilvalveProcessSoak/gateway_fleet.h
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.h
@@ -44,8 +44,11 @@
   void Stop();
   /// Copies the gateways' logs.
   void KeepLogs(const std::string& folder) const;
-  /// Name of the gateway whose process holds the local TCP port; empty if none.
-  std::string OwnerOfPort(int port);
+  /// Pre: Stop was called.
+  void RemoveFiles() const;
+  /// Name of the gateway whose process holds this loopback connection; empty if
+  /// none does.
+  std::string OwnerOf(int local_port, int remote_port);
   /// The vector does not change after Create.
   std::vector<Gateway>& gateways() { return gateways_; }
   DatagramRelay& datagrams() { return datagrams_; }
--- a/Source/BasilvalveProcessSoak/proxy.h
+++ b/Source/BasilvalveProcessSoak/proxy.h
@@ -33,8 +33,8 @@
   void End(LinkEnd how, double share);
   /// Number of connections that were passed on.
   int connections();
-  /// Process that opened the connection whose server side has the local port.
-  /// Returns the caller's local port, or 0.
+  /// Caller's port of the connection whose server side has the local port, or
+  /// 0.
   int CallerPort(int server_side_port);
 
  private:
--- a/Source/BasilvalveProcessSoak/soak.cc
+++ b/Source/BasilvalveProcessSoak/soak.cc
@@ -126,6 +126,7 @@
   if (!settings_.record_folder.empty() && !violations.empty()) {
     fleet_.KeepLogs(settings_.record_folder);
   }
+  fleet_.RemoveFiles();
   return violations;
 }
 
--- a/Source/BasilvalveProcessSoak/worker.cc
+++ b/Source/BasilvalveProcessSoak/worker.cc
@@ -188,7 +188,8 @@
   sockaddr_in at{};
   socklen_t size = sizeof(at);
   getpeername(channel.fd(), reinterpret_cast<sockaddr*>(&at), &size);
-  return fleet_->OwnerOfPort(proxy_->CallerPort(ntohs(at.sin_port)));
+  return fleet_->OwnerOf(proxy_->CallerPort(ntohs(at.sin_port)),
+                         proxy_->port());
 }
 
 uint64_t Worker::Random() {
