--- a/Source/BasilvalveProcessSoak/channel.cc
+++ b/Source/BasilvalveProcessSoak/channel.cc
@@ -224,7 +224,8 @@
                               const OnBody& take) {
   for (;;) {
     size_t n = std::min(left, buffer_.size());
-    take(std::string_view(buffer_).substr(0, n));
+    std::string_view bytes = buffer_;
+    take(bytes.substr(0, n));
     buffer_.erase(0, n);
     left -= n;
     if (left == 0) {
--- a/Source/BasilvalveProcessSoak/ledger.cc
+++ b/Source/BasilvalveProcessSoak/ledger.cc
@@ -11,6 +11,7 @@
 
 constexpr int64_t kStableWindowMs = 5000;
 constexpr int64_t kMaxOverlapMs = 400;
+const std::string kThisProcess = "this process";
 
 bool IsPromise(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -73,6 +74,11 @@
   disturbances_[who].push_back({NowMs(), until_ms});
 }
 
+void Ledger::OnStalled() {
+  OnDisturbed(kThisProcess, NowMs());
+  Count("stalls");
+}
+
 void Ledger::Count(const std::string& what) {
   std::lock_guard lock(mutex_);
   ++counts_[what];
@@ -105,7 +111,7 @@
       ++counts_["overlaps"];
       const std::string* involved[] = {&before.worker, &after.worker,
                                        &before.sender, &after.sender,
-                                       &attempt.entry};
+                                       &attempt.entry, &kThisProcess};
       if (before.sender.empty() || after.sender.empty() ||
           !std::all_of(std::begin(involved), std::end(involved),
                        [&](const std::string* who) {
--- a/Source/BasilvalveProcessSoak/ledger.h
+++ b/Source/BasilvalveProcessSoak/ledger.h
@@ -28,6 +28,9 @@
   /// A gateway or a worker, or its links, were disturbed from now until
   /// `until_ms`.
   void OnDisturbed(const std::string& who, int64_t until_ms);
+  /// This process itself did not run for a while: its workers may have noticed
+  /// late that a caller was gone.
+  void OnStalled();
   void Count(const std::string& what);
   void AddViolation(const std::string& line);
 
--- a/Source/BasilvalveProcessSoak/proxy.cc
+++ b/Source/BasilvalveProcessSoak/proxy.cc
@@ -16,7 +16,7 @@
 namespace basilvalve::process_soak {
 namespace {
 
-constexpr size_t kMaxKept = 256 * 1024;
+constexpr size_t kMaxKept = 262'144;
 constexpr int kConnectTimeoutMs = 200;
 constexpr int kTickMs = 2;
 constexpr int kIdleTickMs = 1000;
--- a/Source/BasilvalveProcessSoak/soak.cc
+++ b/Source/BasilvalveProcessSoak/soak.cc
@@ -13,6 +13,8 @@
 // The longest time limit of a request, and what may come behind it.
 constexpr int64_t kLastAnswerMs = 13'000;
 constexpr int64_t kLastRunMs = 6000;
+constexpr int64_t kStallStepMs = 20;
+constexpr int64_t kStallMs = 150;
 
 const std::vector<RequestKind>& RequestKinds() {
   static const std::vector<RequestKind> kKinds = {
@@ -60,6 +62,15 @@
   return true;
 }
 
+void Soak::WatchStalls() {
+  for (int64_t last = NowMs();; last = NowMs()) {
+    SleepMs(kStallStepMs);
+    if (NowMs() - last > kStallMs) {
+      ledger_.OnStalled();
+    }
+  }
+}
+
 void Soak::StartClients() {
   auto n = static_cast<double>(fleet_.gateways().size());
   uint64_t seed = settings_.seed * 100'000;
@@ -110,6 +121,7 @@
     return Fail(ResultCode::kSettingInvalid,
                 "troubles are " + TroubleSchedule::Names());
   }
+  std::thread([this] { WatchStalls(); }).detach();
   StartClients();
   schedule.Run(NowMs() + settings_.seconds * 1000,
                static_cast<int>(settings_.pause_ms));
--- a/Source/BasilvalveProcessSoak/soak.h
+++ b/Source/BasilvalveProcessSoak/soak.h
@@ -39,6 +39,7 @@
 
  private:
   bool CreateWorkers(const Deployment& deployment);
+  void WatchStalls();
   void StartClients();
   void WaitForClients();
 
