Test: the process soak's workers refuse under their signature, and repeat answers late

Cause: a refusal after a run bore no signature, so that a gateway took it as unproven and the oracle for refused calls that ran could not see it passed on.

Change: half of these refusals are signed. A second copy of an answer also comes in front of the next answer of its connection.

--- a/Source/BasilvalveProcessSoak/worker.cc
+++ b/Source/BasilvalveProcessSoak/worker.cc
@@ -339,7 +339,7 @@
       return;
     }
     size_t run = ledger_->OnRunBegan(request_id, name_, sender);
-    bool goes_on = Run(channel, request);
+    bool goes_on = Run(channel, request, &late);
     ledger_->OnRunEnded(request_id, run);
     Leave();
     if (!goes_on) {
@@ -357,7 +357,7 @@
       ledger_->Line("%s sends more after %s", name_.c_str(),
                     request_id.c_str());
       if (Random() % 2 == 0) {
-        late = stray;
+        late += stray;
       } else {
         SleepMs(static_cast<int64_t>(Random() % kLateMs));
         if (!channel.Write(stray)) {
@@ -368,7 +368,8 @@
   }
 }
 
-bool Worker::Run(Channel& channel, const HttpMessage& request) {
+bool Worker::Run(Channel& channel, const HttpMessage& request,
+                 std::string* late) {
   std::string request_id = request.Field(kRequestIdField);
   if (!Work(channel, service() == "model" ? kModelWorkMs : kCounterWorkMs)) {
     return false;
@@ -401,19 +402,21 @@
     ledger_->Line("%s refuses %s after its run", name_.c_str(),
                   request_id.c_str());
     ledger_->Count("bare_refusals");
-    return channel.Write(
-        Refusal(request_id, kStatuses[Random() % 3], false, 0));
+    AnswerWords words{kStatuses[Random() % 3], request_id, id(),
+                      Random() % 2 == 0};
+    return channel.Write(Sized(AnswerHead(words), "refused"));
   }
   return request.fields.contains(kTokensField) ? Stream(channel, request)
-                                               : Answer(channel, request);
+                                               : Answer(channel, request, late);
 }
 
-bool Worker::Answer(Channel& channel, const HttpMessage& request) {
+bool Worker::Answer(Channel& channel, const HttpMessage& request,
+                    std::string* late) {
   AnswerWords words{200, request.Field(kRequestIdField), id(), true};
   std::string answer = Sized(AnswerHead(words), std::string(800, 'x'));
   if (Draws(Fault::kAnswerCopy)) {
     ledger_->Count("answer_copies");
-    answer += answer;
+    (Random() % 2 == 0 ? *late : answer) += answer;
   }
   return channel.Write(answer);
 }
--- a/Source/BasilvalveProcessSoak/worker.h
+++ b/Source/BasilvalveProcessSoak/worker.h
@@ -75,8 +75,9 @@
   bool Work(Channel& channel, int64_t ms);
   bool Enter(Channel& channel, int64_t until_ms);
   void Leave();
-  bool Run(Channel& channel, const HttpMessage& request);
-  bool Answer(Channel& channel, const HttpMessage& request);
+  /// `late`: bytes that go out in front of the connection's next answer.
+  bool Run(Channel& channel, const HttpMessage& request, std::string* late);
+  bool Answer(Channel& channel, const HttpMessage& request, std::string* late);
   bool Garble(Channel& channel, const std::string& id);
   bool Stream(Channel& channel, const HttpMessage& request);
   std::string Refusal(const std::string& id, int status, bool says_not_run,
