--- a/Source/Core/Flow/dispatcher_set.h
+++ b/Source/Core/Flow/dispatcher_set.h
@@ -46,9 +46,8 @@
   /// Whether this instance owns the upstream.
   bool Owns(const UpstreamRecord& upstream) const;
   /// Whether this instance may send to the upstream while that is cold or
-  /// limited. An
-  /// instance that started a moment ago may not: when many start together, each
-  /// of them first knows only itself.
+  /// limited. An instance that started a moment ago may not: when many start
+  /// together, each of them first knows only itself.
   bool MaySendLimited(const UpstreamRecord& upstream, Instant now) const;
 
  private:
