NotRunProof in a file of its own, and three comments

Cause: a read of the whole change: two classes stood in one header, FlushOnIdle also served new connections, and two comments said less than the code does. Change: not_run_proof.h and .cc; FlushRequest; comments of kForeign and is_leaving. No change of behaviour. Conclusion: a newcomer finds the class by its name.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "Core/Edge/edge_components.h"
-#include "Core/Edge/run_ledger.h"
+#include "Core/Edge/not_run_proof.h"
 #include "Core/Flow/placement.h"
 #include "Core/Net/client_connection.h"
 
@@ -47,7 +47,8 @@
   bool is_past_start = false;
   /// Set if the response proves that the call was not executed.
   std::optional<NotRunProof> not_run_proof;
-  /// The upstream states in this response that it is leaving.
+  /// The upstream states that it is leaving, in this response or in a late one
+  /// to another call before it.
   bool is_leaving = false;
   /// The response lacks the upstream's signature or its unmodified body.
   bool is_unverified = false;
--- a/Source/Core/Edge/response_origin.h
+++ b/Source/Core/Edge/response_origin.h
@@ -19,7 +19,7 @@
 };
 
 enum class ResponseOrigin {
-  /// Belongs to another call or to none: nothing follows from it, and its
+  /// Belongs to another call or to none: it does not end this one, and its
   /// connection is not used again.
   kForeign,
   /// A peer instance failed to get a response.
--- a/Source/Core/Edge/run_ledger.cc
+++ b/Source/Core/Edge/run_ledger.cc
@@ -4,24 +4,6 @@
 
 namespace basilvalve::edge {
 
-std::optional<NotRunProof> NotRunProof::FromConnection(
-    const net::ClientConnection& connection) {
-  if (connection.has_sent()) {
-    return std::nullopt;
-  }
-  return NotRunProof();
-}
-
-std::optional<NotRunProof> NotRunProof::FromResponse(
-    const ResponseClaim& claim) {
-  bool says_so = claim.peer_outcome ? *claim.peer_outcome == Outcome::kNotRun
-                                    : claim.not_executed;
-  if (!says_so || claim.named_call != NamedCall::kThis) {
-    return std::nullopt;
-  }
-  return NotRunProof();
-}
-
 void RunLedger::OnAttempt() {
   ++possible_runs_;
   is_latest_counted_ = true;
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -61,7 +61,7 @@
   connected_ = true;
   idle_since_ = loop_->Now();
   if (observer_ != nullptr) {
-    FlushOnIdle();
+    FlushRequest();
   }
   if (!closed_) {
     WaitForBytes();
@@ -84,13 +84,13 @@
     // Posted, so that the observer is never called before Send returns.
     loop_->Post([weak = weak_from_this()] {
       if (auto self = weak.lock()) {
-        self->FlushOnIdle();
+        self->FlushRequest();
       }
     });
   }
 }
 
-void ClientConnection::FlushOnIdle() {
+void ClientConnection::FlushRequest() {
   if (closed_) {
     return;
   }
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -103,8 +103,8 @@
  private:
   explicit ClientConnection(EventLoop* loop);
   void OnConnected(bool connected);
-  /// Flush for a connection that was idle until now.
-  void FlushOnIdle();
+  /// Flush for the first bytes of a request.
+  void FlushRequest();
   void Flush();
   void WaitForBytes();
   void OnReadable();
