TWICE: connections know which calls they carried; the process soak counts them

Cause: logs and soak could not tell whether a refusal came on a connection that had carried the call before, which is what the hypotheses of docs/incidents/2026-12-06-twice-copies.md differ in. Change: ClientConnection keeps the keys of its requests (256 at most, then it is not used again); refusal_received names connection_had_call. The soak's workers count calls that come again on one connection and copies in front of them, copy 421 too, also for some seconds after a restart at the same address; callers may keep the id of a refused request. What a response is believed for is unchanged.

--- a/Source/BasilvalveProcessSoak/client.cc
+++ b/Source/BasilvalveProcessSoak/client.cc
@@ -90,15 +90,19 @@
 
 void Client::Request() {
   int64_t until = NowMs() + kind_.limit_ms;
+  std::string id = NewId();
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     double retry_after_s = 0;
-    int status = Attempt(until, attempt > 0, &retry_after_s);
+    int status = Attempt(id, until, attempt > 0, &retry_after_s);
     bool is_promise = status == 429 || status == 503 || status == 408;
     int64_t left = until - NowMs();
     bool is_final = status / 100 == 2 || status == 404 || left <= 0;
     if (is_final || (!is_promise && !kind_.may_repeat)) {
       return;
     }
+    if (!is_promise || Share() >= trouble_->keeps_ids) {
+      id = NewId();
+    }
     SleepMs(std::min(static_cast<int64_t>(retry_after_s * 1000), left / 3));
   }
 }
@@ -118,8 +122,8 @@
   return true;
 }
 
-int Client::Attempt(int64_t until_ms, bool is_fresh, double* retry_after_s) {
-  std::string id = NewId();
+int Client::Attempt(const std::string& id, int64_t until_ms, bool is_fresh,
+                    double* retry_after_s) {
   std::unique_ptr<Channel> channel = TakeChannel(is_fresh);
   ledger_->OnSent(id, kind_.name, kind_.may_repeat, kind_.tokens_out > 0,
                   gateway_);
--- a/Source/BasilvalveProcessSoak/client.h
+++ b/Source/BasilvalveProcessSoak/client.h
@@ -31,6 +31,8 @@
   std::atomic<double> resets{0};
   std::atomic<double> writes_pieces{0};
   std::atomic<double> sends_long_bodies{0};
+  /// Repeats refused requests under their id, against the protocol.
+  std::atomic<double> keeps_ids{0};
 };
 
 /// Sends requests of one kind to one gateway's address, on kept connections,
@@ -49,7 +51,8 @@
   std::string NewId();
   std::unique_ptr<Channel> TakeChannel(bool is_fresh);
   void Request();
-  int Attempt(int64_t until_ms, bool is_fresh, double* retry_after_s);
+  int Attempt(const std::string& id, int64_t until_ms, bool is_fresh,
+              double* retry_after_s);
   bool WriteRequest(Channel* channel, const std::string& text);
 
   const std::string gateway_;
--- a/Source/BasilvalveProcessSoak/trouble_schedule.cc
+++ b/Source/BasilvalveProcessSoak/trouble_schedule.cc
@@ -13,6 +13,7 @@
 constexpr int64_t kDrainMs = 3000;
 constexpr int64_t kTerminationMs = 9000;
 constexpr double kFaultWeight = 1.5;
+constexpr int64_t kTwoIdsMs = 4000;
 
 }  // namespace
 
@@ -206,6 +207,12 @@
   ledger_->Line("crash %s for %lld ms", worker.name().c_str(),
                 static_cast<long long>(down_ms));
   worker.Crash(down_ms, false);
+  if (chosen_.contains(FaultName(Fault::kRefusalCopy)) && Draw(0, 1) == 0) {
+    // It is listed under two ids for a while, and refuses calls to the old one.
+    worker.SetFault(Fault::kRefusalCopy, 1);
+    Later(down_ms + kTwoIdsMs,
+          [&worker] { worker.SetFault(Fault::kRefusalCopy, 0); });
+  }
 }
 
 void TroubleSchedule::ReuseAddress() {
@@ -307,10 +314,10 @@
 }
 
 void TroubleSchedule::TroubleClients() {
-  std::atomic<double>* shares[] = {&clients_->gives_up, &clients_->resets,
-                                   &clients_->writes_pieces,
-                                   &clients_->sends_long_bodies};
-  std::atomic<double>* share = shares[Draw(0, 3)];
+  std::atomic<double>* shares[] = {
+      &clients_->gives_up, &clients_->resets, &clients_->writes_pieces,
+      &clients_->sends_long_bodies, &clients_->keeps_ids};
+  std::atomic<double>* share = shares[Draw(0, 4)];
   int64_t ms = Draw(500, 4000);
   *share = DrawShare(0.1, 0.6);
   ledger_->Line("clients are troubled for %lld ms", static_cast<long long>(ms));
--- a/Source/BasilvalveProcessSoak/worker.cc
+++ b/Source/BasilvalveProcessSoak/worker.cc
@@ -269,6 +269,9 @@
   std::string sender = "?";
   std::string last_id;
   std::string late;
+  std::set<std::string> carried;
+  // The call whose refusal is in `late`.
+  std::string last_refused;
   for (;;) {
     HttpMessage request;
     bool is_early = false;
@@ -283,11 +286,22 @@
       return;
     }
     WaitWhilePaused();
-    if (!late.empty() && !channel.Write(late)) {
-      return;
+    std::string request_id = request.Field(kRequestIdField);
+    if (!request_id.empty() && !carried.insert(request_id).second) {
+      ledger_->Count("calls_again_on_connection");
+      ledger_->Line("%s gets %s again on one connection", name_.c_str(),
+                    request_id.c_str());
+    }
+    if (!late.empty()) {
+      if (last_refused == request_id) {
+        ledger_->Count("copies_before_call_again");
+      }
+      if (!channel.Write(late)) {
+        return;
+      }
     }
     late.clear();
-    std::string request_id = request.Field(kRequestIdField);
+    last_refused.clear();
     if (is_early) {
       ledger_->Line("%s sheds %s early", name_.c_str(), request_id.c_str());
       continue;
@@ -304,7 +318,13 @@
       ledger_->Line("%s is not %s: %s", name_.c_str(), expected.c_str(),
                     request_id.c_str());
       ledger_->Count("answers_421");
-      if (!channel.Write(Refusal(request_id, 421, false, 0))) {
+      std::string refusal = Refusal(request_id, 421, false, 0);
+      if (Draws(Fault::kRefusalCopy)) {
+        ledger_->Count("refusal_copies");
+        late += refusal;
+        last_refused = request_id;
+      }
+      if (!channel.Write(refusal)) {
         return;
       }
       continue;
@@ -325,7 +345,9 @@
                                     is_pause ? 0.5 : 0);
       if (Draws(Fault::kRefusalCopy)) {
         ledger_->Count("refusal_copies");
-        (Random() % 2 == 0 ? late : refusal) += refusal;
+        bool is_late = Random() % 2 == 0;
+        (is_late ? late : refusal) += refusal;
+        last_refused = is_late ? request_id : "";
       }
       last_id = request_id;
       if (!channel.Write(refusal)) {
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -40,12 +40,13 @@
 }
 
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
-                Micros age) {
+                Micros age, bool is_repeat) {
   LogEvent(LogLevel::kInfo, "edge", "refusal_received")
       .With("request", params.id.value())
       .With("from", from.Text())
       .With("status", status)
-      .With("age_us", age.count());
+      .With("age_us", age.count())
+      .With("connection_had_call", is_repeat ? "yes" : "no");
 }
 
 void LogForeignResponse(const CallParams& params, const net::Endpoint& from,
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Core/Common/hash.h"
 #include "Core/Common/log.h"
 #include "Core/Edge/call_log.h"
 #include "Core/Edge/message_serializer.h"
@@ -261,7 +262,8 @@
   attempt_.events_before = splitter_.events();
   ++progress_.sends;
   runs_.OnAttempt();
-  attempt_.connection->Send(std::move(bytes), this);
+  attempt_.connection->Send(std::move(bytes), this,
+                            net::RequestKey(Hash64(params_.id.value())));
   ArmSilenceTimer(SilenceLimit());
 }
 
@@ -298,7 +300,8 @@
   attempt_.head = head;
   attempt_.not_run_proof = NotRunProof::FromResponse(claim);
   if (attempt_.not_run_proof) {
-    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at);
+    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at,
+               attempt_.connection->is_repeat());
   }
   if (origin == ResponseOrigin::kPeerFailure) {
     attempt_.peer_outcome =
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -1,5 +1,6 @@
 #include "Core/Net/client_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -14,6 +15,8 @@
 // one; more of them are no protocol of a server.
 constexpr uint64_t kMaxDiscardedBytes = 256ULL * 1024;
 constexpr int kMaxInterimResponses = 16;
+// A connection is used for no more requests than it remembers the keys of.
+constexpr size_t kMaxCarriedKeys = 256;
 
 }  // namespace
 
@@ -71,7 +74,21 @@
   }
 }
 
-void ClientConnection::Send(std::string bytes, ClientObserver* observer) {
+bool ClientConnection::HasCarried(RequestKey key) const {
+  return std::find(carried_keys_.begin(), carried_keys_.end(), key) !=
+         carried_keys_.end();
+}
+
+bool ClientConnection::is_reusable() const {
+  return reusable_ && !closed_ && carried_keys_.size() < kMaxCarriedKeys;
+}
+
+void ClientConnection::Send(std::string bytes, ClientObserver* observer,
+                            std::optional<RequestKey> key) {
+  is_repeat_ = key && HasCarried(*key);
+  if (key && !is_repeat_) {
+    carried_keys_.push_back(*key);
+  }
   observer_ = observer;
   head_delivered_ = false;
   discarding_ = false;
@@ -288,7 +305,7 @@
   paused_ = false;
   ClientObserver* observer = observer_;
   observer_ = nullptr;
-  if (!reusable_) {
+  if (!is_reusable()) {
     Close();
   }
   observer->OnDone();
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -3,15 +3,21 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "Core/Common/strong_id.h"
 #include "Core/Net/message.h"
 #include "Core/Net/socket.h"
 #include "Core/Net/write_buffer.h"
 
 namespace basilvalve::net {
 
+/// Tells a request from the others of its connection.
+using RequestKey = StrongNumber<struct RequestKeyTag>;
+
 /// Why a request on a client connection failed.
 enum class ClientError {
   /// The connection could not be established; nothing was sent.
@@ -59,9 +65,16 @@
   ~ClientConnection();
 
   /// Sends a request, once the connection is established. Pre: is_idle();
-  /// `observer` outlives its OnDone or OnError call or the call to Close. Not
-  /// thread safe.
-  void Send(std::string bytes, ClientObserver* observer);
+  /// `observer` outlives its OnDone or OnError call or the call to Close.
+  /// `key`: set for a request that may be sent more than once. Not thread safe.
+  void Send(std::string bytes, ClientObserver* observer,
+            std::optional<RequestKey> key = std::nullopt);
+  /// Whether a request with the key was sent on this connection. Not thread
+  /// safe.
+  bool HasCarried(RequestKey key) const;
+  /// Whether the connection had carried the key of the last request before: a
+  /// response to it may be one to the earlier request. Not thread safe.
+  bool is_repeat() const { return is_repeat_; }
   /// Calls `fn` once when the connection is established or has failed, but not
   /// after Close. Pre: neither has happened. Not thread safe.
   void SetConnectHandler(std::function<void(ConnectResult)> fn) {
@@ -80,7 +93,7 @@
   /// Whether Pause holds. Not thread safe.
   bool is_paused() const { return paused_; }
   /// Whether another request may be sent on this connection. Not thread safe.
-  bool is_reusable() const { return reusable_ && !closed_; }
+  bool is_reusable() const;
   /// Whether no request is in flight. Not thread safe.
   bool is_idle() const { return observer_ == nullptr; }
   /// Not thread safe.
@@ -123,6 +136,7 @@
   WriteBuffer write_buffer_;
   // Bytes written by earlier requests on this connection.
   uint64_t written_at_send_ = 0;
+  std::vector<RequestKey> carried_keys_;
   Instant idle_since_;
   Millis server_keep_alive_{0};
   // Of the current request.
@@ -131,6 +145,7 @@
   bool connected_ = false;
   bool closed_ = false;
   bool reusable_ = true;
+  bool is_repeat_ = false;
   bool paused_ = false;
   bool head_delivered_ = false;
   bool discarding_ = false;
