TWICE: a connection carries a call once, and a second time its name proves nothing

Callers saw: a booking that ran at two upstreams, or 503 for one that runs. Cause: the id of a response was the proof that it answers this attempt. That holds only while a connection carries a call once. An attempt excludes upstreams by id, the pool goes by address: a worker that restarted at its address is listed under two ids until the old entry lapses, the call gets 421 for the old one and goes to the new one on the same connection. A copy of the 421 in front of the answer is then believed. The class: a proof that can be forged by a repeat. Change: ConnectionPool::Take never returns a connection that has carried the call. NamedOn, where a response is judged, makes the name on such a connection NamedCall::kRepeated, which is foreign: no end of the attempt, no NotRunProof, no limit. Both hold whatever placement does. Conclusion: two places hold the rule, one of them at the place that believes.

--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -37,13 +37,22 @@
 
 /// Which call a response names as the one that it answers. A connection may
 /// deliver a response to another call, or bytes that answer none.
-enum class NamedCall { kThis, kOther, kNone };
+enum class NamedCall {
+  kThis,
+  /// This call, which the connection had carried before: the response may be a
+  /// copy of the one to the earlier attempt.
+  kRepeated,
+  kOther,
+  kNone,
+};
 
 /// For log and metrics. Thread safe.
 constexpr std::string_view NamedCallName(NamedCall named_call) {
   switch (named_call) {
     case NamedCall::kThis:
       return "this";
+    case NamedCall::kRepeated:
+      return "repeated";
     case NamedCall::kOther:
       return "other";
     case NamedCall::kNone:
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -40,13 +40,12 @@
 }
 
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
-                Micros age, bool is_repeat) {
+                Micros age) {
   LogEvent(LogLevel::kInfo, "edge", "refusal_received")
       .With("request", params.id.value())
       .With("from", from.Text())
       .With("status", status)
-      .With("age_us", age.count())
-      .With("connection_had_call", is_repeat ? "yes" : "no");
+      .With("age_us", age.count());
 }
 
 void LogForeignResponse(const CallParams& params, const net::Endpoint& from,
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -24,10 +24,9 @@
                      const CallProgress& progress,
                      const flow::DispatchDecision& decision);
 /// Logs a proof that an attempt did not execute the call, and how long after
-/// the send it came, and whether its connection had carried the call before.
-/// Thread safe.
+/// the send it came. Thread safe.
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
-                Micros age, bool is_repeat);
+                Micros age);
 /// Logs a response that belongs to another call or to none. Thread safe.
 void LogForeignResponse(const CallParams& params, const net::Endpoint& from,
                         int status, const ResponseClaim& claim);
--- a/Source/Core/Edge/connection_pool.cc
+++ b/Source/Core/Edge/connection_pool.cc
@@ -26,11 +26,19 @@
 }
 
 ConnectionPool::Ptr ConnectionPool::Take(const net::Endpoint& to,
-                                         bool is_non_retryable_call) {
+                                         bool is_non_retryable_call,
+                                         std::optional<net::RequestKey> key) {
   auto it = idle_.find(to);
-  while (it != idle_.end() && !it->second.empty()) {
-    Ptr connection = std::move(it->second.back());
-    it->second.pop_back();
+  if (it == idle_.end()) {
+    return Open(to);
+  }
+  auto& connections = it->second;
+  for (size_t i = connections.size(); i-- > 0;) {
+    if (key && connections[i]->HasCarried(*key)) {
+      continue;
+    }
+    Ptr connection = std::move(connections[i]);
+    connections.erase(connections.begin() + static_cast<ptrdiff_t>(i));
     Micros idle = loop_->Now() - connection->idle_since();
     if (connection->is_reusable() &&
         idle < MaxIdleTime(*connection, is_non_retryable_call)) {
--- a/Source/Core/Edge/connection_pool.h
+++ b/Source/Core/Edge/connection_pool.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "Core/Net/client_connection.h"
@@ -29,8 +30,10 @@
 
   /// Returns an idle connection or opens a new one. A call that must not be
   /// sent twice (`is_non_retryable_call`) only gets an idle connection that
-  /// the server cannot be closing yet.
-  Ptr Take(const net::Endpoint& to, bool is_non_retryable_call);
+  /// the server cannot be closing yet. A call with a key never gets a
+  /// connection that has carried it. Not thread safe.
+  Ptr Take(const net::Endpoint& to, bool is_non_retryable_call,
+           std::optional<net::RequestKey> key);
   /// Opens a new connection. Not thread safe.
   Ptr Open(const net::Endpoint& to);
   /// Returns a connection after its response; closes it if it is not reusable
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -163,9 +163,9 @@
   params.urgency = UrgencyOf(*context_.route);
   params.resume_after = ResumeAfter();
   components_->metrics->CountSend("here");
-  BeginAttempt(
-      components_->upstream_pool->Take(attempt_.endpoint, !IsRetryable()),
-      SerializeRequest(request_, *components_->dialect, params, {}));
+  BeginAttempt(components_->upstream_pool->Take(attempt_.endpoint,
+                                                !IsRetryable(), Key()),
+               SerializeRequest(request_, *components_->dialect, params, {}));
 }
 
 bool Exchange::IsForwardedTo(const flow::Placement& placement) const {
@@ -245,8 +245,9 @@
   if (peer.region != components_->fleet->self().region) {
     components_->metrics->CountCrossRegionBytes(bytes.size());
   }
-  BeginAttempt(components_->peer_pool->Take(attempt_.endpoint, !IsRetryable()),
-               std::move(bytes));
+  BeginAttempt(
+      components_->peer_pool->Take(attempt_.endpoint, !IsRetryable(), Key()),
+      std::move(bytes));
 }
 
 void Exchange::BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
@@ -262,11 +263,14 @@
   attempt_.events_before = splitter_.events();
   ++progress_.sends;
   runs_.OnAttempt();
-  attempt_.connection->Send(std::move(bytes), this,
-                            net::RequestKey(Hash64(params_.id.value())));
+  attempt_.connection->Send(std::move(bytes), this, Key());
   ArmSilenceTimer(SilenceLimit());
 }
 
+net::RequestKey Exchange::Key() const {
+  return net::RequestKey(Hash64(params_.id.value()));
+}
+
 ResponseClaim Exchange::ClaimOf(const net::MessageHead& head,
                                 const ResponseInfo& response) const {
   ResponseClaim claim{response.named_call, response.not_executed, {}};
@@ -275,9 +279,10 @@
   if (outcome != nullptr) {
     const std::string* call = head.Find(kHopCallHeader);
     claim.peer_outcome = ParseOutcome(*outcome);
-    claim.named_call = call == nullptr               ? NamedCall::kNone
-                       : *call == params_.id.value() ? NamedCall::kThis
-                                                     : NamedCall::kOther;
+    claim.named_call = call == nullptr ? NamedCall::kNone
+                       : *call == params_.id.value()
+                           ? NamedOn(*attempt_.connection, NamedCall::kThis)
+                           : NamedCall::kOther;
   }
   return claim;
 }
@@ -286,6 +291,7 @@
   Instant now = components_->loop->Now();
   ResponseInfo response =
       components_->dialect->ParseResponseHead(head, params_.id);
+  response.named_call = NamedOn(*attempt_.connection, response.named_call);
   ResponseClaim claim = ClaimOf(head, response);
   ResponseOrigin origin = OriginOf(claim);
   // A late response to another call still tells about its sender.
@@ -300,8 +306,7 @@
   attempt_.head = head;
   attempt_.not_run_proof = NotRunProof::FromResponse(claim);
   if (attempt_.not_run_proof) {
-    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at,
-               attempt_.connection->is_repeat());
+    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at);
   }
   if (origin == ResponseOrigin::kPeerFailure) {
     attempt_.peer_outcome =
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -73,6 +73,8 @@
   void OnPeerFailed();
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
+  /// Tells the call from the others of a connection.
+  net::RequestKey Key() const;
   ResponseClaim ClaimOf(const net::MessageHead& head,
                         const ResponseInfo& response) const;
   /// Records what the response says about its sender's willingness.
--- a/Source/Core/Edge/response_origin.cc
+++ b/Source/Core/Edge/response_origin.cc
@@ -2,8 +2,16 @@
 
 namespace basilvalve::edge {
 
+NamedCall NamedOn(const net::ClientConnection& connection,
+                  NamedCall named_call) {
+  return named_call == NamedCall::kThis && connection.is_repeat()
+             ? NamedCall::kRepeated
+             : named_call;
+}
+
 ResponseOrigin OriginOf(const ResponseClaim& claim) {
-  if (claim.named_call == NamedCall::kOther) {
+  if (claim.named_call == NamedCall::kOther ||
+      claim.named_call == NamedCall::kRepeated) {
     return ResponseOrigin::kForeign;
   }
   if (claim.peer_outcome) {
--- a/Source/Core/Edge/response_origin.h
+++ b/Source/Core/Edge/response_origin.h
@@ -6,6 +6,7 @@
 
 #include "Core/Common/result_code.h"
 #include "Core/Edge/call_dialect.h"
+#include "Core/Net/client_connection.h"
 
 namespace basilvalve::edge {
 
@@ -28,6 +29,11 @@
   kUpstream,
 };
 
+/// What a name in a response proves: `named_call` says what the response names,
+/// `connection` is the one that delivered it. Pre: the call was the last one
+/// sent on the connection. Not thread safe.
+NamedCall NamedOn(const net::ClientConnection& connection,
+                  NamedCall named_call);
 /// Pure function. Thread safe.
 ResponseOrigin OriginOf(const ResponseClaim& claim);
 
--- a/Source/UnitTests/Core/Edge/foreign_response_test.cc
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -43,6 +43,10 @@
   const std::vector<Row> rows = {
       {NamedCall::kThis, {}, false, kUpstream, false},
       {NamedCall::kThis, {}, true, kUpstream, true},
+      {NamedCall::kRepeated, {}, false, kForeign, false},
+      {NamedCall::kRepeated, {}, true, kForeign, false},
+      {NamedCall::kRepeated, Outcome::kNotRun, true, kForeign, false},
+      {NamedCall::kRepeated, Outcome::kUnknown, false, kForeign, false},
       {NamedCall::kOther, {}, false, kForeign, false},
       {NamedCall::kOther, {}, true, kForeign, false},
       {NamedCall::kNone, {}, false, kForeign, false},
