CONFIG: a position in the catalog is an era and a revision

Cause: revisions ordered two histories. After a full read the watch went on from the maximum of the old and the read revision: 410 and another full read, five times a second, until the store had passed the old mark; the changes below it were never seen, or, where the store was past the mark already, no 410 came at all. Followers of a large region took relayed ranges and confirmations by the same maximum. The class: a number of a lost history taken for this one's. Change: flow::CatalogPosition orders era before revision and is the only thing that is compared, in the watcher, the follower, the relayed ranges (BVC2) and the heartbeats.

--- a/Source/Core/Edge/catalog_codec.cc
+++ b/Source/Core/Edge/catalog_codec.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Distinguishes these datagrams from heartbeats, which are MessagePack arrays.
-constexpr std::string_view kMagic = "BVC1";
+constexpr std::string_view kMagic = "BVC2";
 
 void AppendNumber(uint64_t value, std::string* out) {
   std::array<char, sizeof(value)> bytes{};
@@ -31,11 +31,12 @@
   std::string out(kMagic);
   AppendNumber(changes.range.after, &out);
   AppendNumber(changes.range.last, &out);
+  AppendNumber(changes.range.era.value(), &out);
   return out.append(changes.changes);
 }
 
 std::optional<CatalogChanges> DecodeCatalogChanges(std::string_view bytes) {
-  constexpr size_t kHeaderBytes = kMagic.size() + 2 * sizeof(uint64_t);
+  constexpr size_t kHeaderBytes = kMagic.size() + 3 * sizeof(uint64_t);
   if (!IsCatalogDatagram(bytes) || bytes.size() < kHeaderBytes) {
     return std::nullopt;
   }
@@ -43,6 +44,8 @@
   changes.range.after = ReadNumber(bytes.substr(kMagic.size()));
   changes.range.last =
       ReadNumber(bytes.substr(kMagic.size() + sizeof(uint64_t)));
+  changes.range.era = flow::CatalogEra(
+      ReadNumber(bytes.substr(kMagic.size() + 2 * sizeof(uint64_t))));
   if (changes.range.last < changes.range.after) {
     return std::nullopt;
   }
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -324,8 +324,8 @@
          loop_->Now() - region_state_seen_at_ > kStateVersionGrace;
 }
 
-void EdgeNode::SetCatalogRevision(uint64_t revision) {
-  catalog_revision_ = revision;
+void EdgeNode::SetCatalogPosition(const flow::CatalogPosition& position) {
+  catalog_position_ = position;
   catalog_confirmed_at_ = loop_->Now();
 }
 
@@ -377,8 +377,9 @@
     region_state_version_ = heartbeat->state_version;
     region_state_seen_at_ = loop_->Now();
   }
-  if (heartbeat->catalog_revision > 0 && catalog_handlers_.on_confirmed) {
-    catalog_handlers_.on_confirmed(heartbeat->catalog_revision,
+  if (heartbeat->catalog_position.revision > 0 &&
+      catalog_handlers_.on_confirmed) {
+    catalog_handlers_.on_confirmed(heartbeat->catalog_position,
                                    loop_->Now() - heartbeat->catalog_age);
   }
   ApplyHeartbeat(*heartbeat);
@@ -443,7 +444,7 @@
     heartbeat.limits = notices_.LimitReports(now);
     heartbeat.relayed = std::exchange(relayed_heartbeats_, {});
     if (dispatchers_.has_catalog_readers() && dispatchers_.IsCatalogReader()) {
-      heartbeat.catalog_revision = catalog_revision_;
+      heartbeat.catalog_position = catalog_position_;
       heartbeat.catalog_age =
           std::chrono::ceil<Millis>(now - catalog_confirmed_at_);
     }
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -56,8 +56,8 @@
   /// Receives what the region's readers of the platform's catalog pass on.
   struct CatalogHandlers {
     std::function<void(const CatalogChanges&)> on_changes;
-    /// A reader had read up to the revision at the given time.
-    std::function<void(uint64_t revision, Instant at)> on_confirmed;
+    /// A reader had read up to the position at the given time.
+    std::function<void(const flow::CatalogPosition&, Instant at)> on_confirmed;
   };
   void SetCatalogHandlers(CatalogHandlers handlers) {
     catalog_handlers_ = std::move(handlers);
@@ -72,7 +72,7 @@
   /// Whether others of the region rely on its catalog readers.
   bool HasCatalogReaders() const { return dispatchers_.has_catalog_readers(); }
   /// Records how far this instance has read the catalog, for its heartbeats.
-  void SetCatalogRevision(uint64_t revision);
+  void SetCatalogPosition(const flow::CatalogPosition& position);
   /// Passes changes on to the other instances of the region.
   void BroadcastCatalogChanges(const CatalogChanges& changes);
   /// Whether the instance accepts callers: it has a desired state and is not
@@ -183,7 +183,7 @@
   // it was first seen.
   uint64_t region_state_version_ = 0;
   Instant region_state_seen_at_;
-  uint64_t catalog_revision_ = 0;
+  flow::CatalogPosition catalog_position_;
   Instant catalog_confirmed_at_;
   size_t next_remote_ = 0;
   std::map<RegionId, Instant> last_relayed_heartbeat_at_;
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -16,6 +16,7 @@
 constexpr size_t kPoisonIndex = 17;
 constexpr size_t kLeavingIndex = 18;
 constexpr size_t kLimitIndex = 19;
+constexpr size_t kEraIndex = 20;
 
 // Bounds what a datagram can add to the state of its receiver.
 constexpr size_t kMaxPoisonRows = 64;
@@ -190,9 +191,11 @@
               std::move(cache_updates),
               std::move(relayed),
               heartbeat.is_for_relay,
-              heartbeat.catalog_revision,
+              heartbeat.catalog_position.revision,
               heartbeat.catalog_age.count()};
-  bool has_limits = !limits.empty();
+  uint64_t era = heartbeat.catalog_position.era.value();
+  bool has_era = era > 0;
+  bool has_limits = !limits.empty() || has_era;
   bool has_leaving = !leaving.empty() || has_limits;
   if (!heartbeat.poison.empty() || has_leaving) {
     row.push_back(heartbeat.poison.empty() ? json::array()
@@ -204,6 +207,9 @@
   if (has_limits) {
     row.push_back(std::move(limits));
   }
+  if (has_era) {
+    row.push_back(era);
+  }
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -242,7 +248,7 @@
       heartbeat.relayed.emplace_back(inner.begin(), inner.end());
     }
     heartbeat.is_for_relay = row.at(14).get<bool>();
-    heartbeat.catalog_revision = row.at(15).get<uint64_t>();
+    heartbeat.catalog_position.revision = row.at(15).get<uint64_t>();
     heartbeat.catalog_age = Millis(row.at(16).get<int64_t>());
     // Instances of earlier builds do not send the following.
     if (row.size() > kPoisonIndex && !row.at(kPoisonIndex).empty()) {
@@ -260,6 +266,10 @@
         heartbeat.limits.push_back(ReadLimitReport(it));
       }
     }
+    if (row.size() > kEraIndex) {
+      heartbeat.catalog_position.era =
+          flow::CatalogEra(row.at(kEraIndex).get<uint64_t>());
+    }
     return heartbeat;
   } catch (const json::exception&) {
     // Not a valid heartbeat; the caller counts and logs it.
--- a/Source/Core/Flow/catalog_follower.cc
+++ b/Source/Core/Flow/catalog_follower.cc
@@ -4,25 +4,28 @@
 
 namespace basilvalve::flow {
 
-void CatalogFollower::OnConfirmed(uint64_t revision, Instant at) {
-  confirmed_revision_ = std::max(confirmed_revision_, revision);
+void CatalogFollower::OnConfirmed(const CatalogPosition& position, Instant at) {
+  if (position.era < confirmed_.era) {
+    return;
+  }
+  confirmed_ = std::max(confirmed_, position);
   confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
 }
 
 CatalogAction CatalogFollower::OnChanges(const RevisionRange& range,
-                                         uint64_t own) const {
-  if (range.last <= own) {
+                                         const CatalogPosition& own) const {
+  if (range.end() <= own) {
     return CatalogAction::kIgnore;
   }
-  return range.after <= own ? CatalogAction::kApply
-                            : CatalogAction::kReadMissing;
+  bool connects = range.era == own.era && range.after <= own.revision;
+  return connects ? CatalogAction::kApply : CatalogAction::kReadMissing;
 }
 
-bool CatalogFollower::NeedsRead(uint64_t own, Instant now) {
+bool CatalogFollower::NeedsRead(const CatalogPosition& own, Instant now) {
   if (!confirmed_at_ || now - *confirmed_at_ > max_age_) {
     return true;
   }
-  if (own >= confirmed_revision_) {
+  if (own >= confirmed_) {
     behind_since_.reset();
     return false;
   }
--- a/Source/Core/Flow/catalog_follower.h
+++ b/Source/Core/Flow/catalog_follower.h
@@ -1,25 +1,19 @@
 // Follows the platform's catalog through the instances that read it.
 #pragma once
 
-#include <cstdint>
 #include <optional>
 
 #include "Core/Common/clock.h"
+#include "Core/Flow/catalog_position.h"
 
 namespace basilvalve::flow {
 
-/// A range of catalog revisions, after `after` and up to `last`.
-struct RevisionRange {
-  uint64_t after = 0;
-  uint64_t last = 0;
-};
-
 /// What an instance does with a range of changes that a reader passed on.
 enum class CatalogAction {
   /// All of it is known.
   kIgnore,
   kApply,
-  /// Earlier changes are missing.
+  /// Earlier changes are missing, or all of a later era.
   kReadMissing,
 };
 
@@ -34,19 +28,22 @@
   CatalogFollower(Micros max_age, Micros max_lag)
       : max_age_(max_age), max_lag_(max_lag) {}
 
-  /// Records that a reader, or this instance, found no changes after `revision`
-  /// at `at`.
-  void OnConfirmed(uint64_t revision, Instant at);
-  /// What to do with a range of changes. `own` is the revision that this
+  /// Records that a reader, or this instance, found no changes after `position`
+  /// at `at`. Ignored if an era later than the position's is known.
+  void OnConfirmed(const CatalogPosition& position, Instant at);
+  /// What to do with a range of changes. `own` is the position that this
   /// instance has applied.
-  CatalogAction OnChanges(const RevisionRange& range, uint64_t own) const;
+  CatalogAction OnChanges(const RevisionRange& range,
+                          const CatalogPosition& own) const;
   /// Whether this instance has to read for itself now.
-  bool NeedsRead(uint64_t own, Instant now);
+  bool NeedsRead(const CatalogPosition& own, Instant now);
+  /// The latest era that was confirmed.
+  CatalogEra era() const { return confirmed_.era; }
 
  private:
   Micros max_age_;
   Micros max_lag_;
-  uint64_t confirmed_revision_ = 0;
+  CatalogPosition confirmed_;
   std::optional<Instant> confirmed_at_;
   std::optional<Instant> behind_since_;
 };
--- a/Source/Core/Flow/fleet_view.cc
+++ b/Source/Core/Flow/fleet_view.cc
@@ -94,6 +94,17 @@
   }
 }
 
+void FleetView::Restore(const std::vector<InstanceRecord>& records,
+                        Instant now) {
+  for (const InstanceRecord& record : records) {
+    auto it = instances_.find(record.id);
+    if (it == instances_.end() ||
+        it->second.record.incarnation <= record.incarnation) {
+      Register(record, now);
+    }
+  }
+}
+
 bool FleetView::OnHeartbeat(const Heartbeat& heartbeat, Instant now) {
   if (heartbeat.from.id == self_.id) {
     return false;
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/Flow/catalog_position.h"
 #include "Core/Flow/placement.h"
 #include "Core/Flow/poison_tracker.h"
 
@@ -96,9 +97,9 @@
   /// Encoded heartbeats of other regions' instances that the sender received
   /// since its last one; sent only within the region.
   std::vector<std::string> relayed;
-  /// Revision of the platform's catalog up to which the sender has read; 0 if
-  /// it is not a reader. Sent only within the region.
-  uint64_t catalog_revision = 0;
+  /// Up to where the sender has read the platform's catalog; revision 0 if it
+  /// is not a reader. Sent only within the region.
+  CatalogPosition catalog_position;
   /// Time since the store confirmed that there are no later changes.
   Millis catalog_age{0};
   /// Whether the receiver, in another region, passes the heartbeat on within
@@ -131,6 +132,10 @@
   void Register(const InstanceRecord& record, Instant now);
   void Unregister(const InstanceId& id);
   void ReplaceAll(const std::vector<InstanceRecord>& records, Instant now);
+  /// Applies the registrations of a catalog that was restored from an older
+  /// copy: a missing one ends nothing, and an earlier incarnation than the
+  /// known one is ignored.
+  void Restore(const std::vector<InstanceRecord>& records, Instant now);
   /// Applies a heartbeat. Returns false if it is older than what is known, or
   /// this instance's own.
   bool OnHeartbeat(const Heartbeat& heartbeat, Instant now);
--- a/Source/Core/Flow/upstream.cc
+++ b/Source/Core/Flow/upstream.cc
@@ -6,6 +6,14 @@
 #include "Core/Common/hash.h"
 
 namespace basilvalve::flow {
+
+bool UpstreamRecord::IsEarlierThan(const UpstreamRecord& other) const {
+  bool may_be_same_process = started_at_ms == 0 || other.started_at_ms == 0 ||
+                             started_at_ms == other.started_at_ms;
+  return may_be_same_process ? sequence < other.sequence
+                             : started_at_ms < other.started_at_ms;
+}
+
 namespace {
 
 // After this time without a report from another instance, its callers have
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -37,6 +37,12 @@
   Millis cold_remaining{0};
   /// Start of its process, Unix milliseconds; 0 if unknown.
   int64_t started_at_ms = 0;
+  /// Rises with each record that its process writes; 0 if unknown.
+  uint64_t sequence = 0;
+
+  /// Whether the record was written before the other one, of the same id. An
+  /// unknown start counts as that of the same process. Thread safe.
+  bool IsEarlierThan(const UpstreamRecord& other) const;
 };
 
 /// One part of a prompt, shared between calls or specific to one.
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -103,7 +103,7 @@
   if (it == removed_notices_.end()) {
     return;
   }
-  if (it->second.service == upstream->record.service &&
+  if (it->second.record.service == upstream->record.service &&
       it->second.notice->Matches(upstream->record.started_at_ms)) {
     upstream->notice = std::move(it->second.notice);
   }
@@ -145,7 +145,7 @@
     return;
   }
   it->second->is_removed = true;
-  removed_notices_[id] = {it->second->record.service, it->second->notice, {}};
+  removed_notices_[id] = {it->second->record, it->second->notice, {}};
   auto& list = by_service_[it->second->record.service];
   list.erase(std::remove(list.begin(), list.end(), it->second), list.end());
   by_short_id_.erase(ShortIdOf(id));
@@ -170,6 +170,21 @@
   }
 }
 
+void UpstreamRegistry::Restore(const std::vector<UpstreamRecord>& records,
+                               Instant now) {
+  for (const UpstreamRecord& record : records) {
+    auto known = by_id_.find(record.id);
+    auto removed = removed_notices_.find(record.id);
+    bool is_outdated = known != by_id_.end()
+                           ? record.IsEarlierThan(known->second->record)
+                           : removed != removed_notices_.end() &&
+                                 !removed->second.record.IsEarlierThan(record);
+    if (!is_outdated) {
+      Upsert(record, now);
+    }
+  }
+}
+
 void UpstreamRegistry::SetEvacuated(std::set<DataCentreId> data_centres) {
   evacuated_ = std::move(data_centres);
 }
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -83,6 +83,10 @@
   /// Applies the complete list of registrations and removes all other
   /// upstreams.
   void ReplaceAll(const std::vector<UpstreamRecord>& records, Instant now);
+  /// Applies the records of a catalog that was restored from an older copy: a
+  /// missing one removes nothing, and one that is older than what was known
+  /// changes nothing.
+  void Restore(const std::vector<UpstreamRecord>& records, Instant now);
   /// Sets the evacuated data centres, whose upstreams receive no requests.
   /// When the evacuation ends, an upstream counts as cold for as long as its
   /// registration says so.
@@ -149,7 +153,7 @@
  private:
   /// The notice of an upstream that was removed; its registration may return.
   struct RemovedNotice {
-    ServiceName service;
+    UpstreamRecord record;
     UpstreamNotice::Ptr notice;
     Instant first_swept_at;
   };
--- a/Source/UnitTests/Core/Edge/edge_test.cc
+++ b/Source/UnitTests/Core/Edge/edge_test.cc
@@ -626,7 +626,7 @@
   heartbeat.upstreams[flow::ShortIdOf(UpstreamId("u"))] = {
       {1, 2, 3}, 4000, false};
   heartbeat.relayed = {"other", ""};
-  heartbeat.catalog_revision = 9;
+  heartbeat.catalog_position = {flow::CatalogEra(2), 9};
   heartbeat.catalog_age = Millis(12);
   heartbeat.cache_updates.push_back(
       {flow::ShortIdOf(UpstreamId("u")), {{1, 2}, {3, 4}}});
@@ -636,7 +636,7 @@
   CHECK(EncodeHeartbeat(*decoded) == EncodeHeartbeat(heartbeat));
   CHECK_FALSE(IsCatalogDatagram(EncodeHeartbeat(heartbeat)));
   CHECK(decoded->relayed == heartbeat.relayed);
-  CHECK(decoded->catalog_revision == 9);
+  CHECK(decoded->catalog_position == heartbeat.catalog_position);
   const auto& report = decoded->upstreams.at(flow::ShortIdOf(UpstreamId("u")));
   CHECK(report.load.reserved_tokens == 3);
   CHECK(report.time_per_token_us == 4000);
--- a/Source/UnitTests/Core/Flow/large_region_test.cc
+++ b/Source/UnitTests/Core/Flow/large_region_test.cc
@@ -343,25 +343,83 @@
 TEST_CASE(
     "a follower of the catalog reads it itself where readers leave gaps") {
   CatalogFollower follower(Millis(2500), Millis(400));
-  CHECK(follower.NeedsRead(10, kStart));
-  follower.OnConfirmed(10, kStart);
-  CHECK_FALSE(follower.NeedsRead(10, kStart + Millis(2400)));
+  auto at = [](uint64_t revision) {
+    return CatalogPosition{CatalogEra(3), revision};
+  };
+  auto range = [](uint64_t after, uint64_t last) {
+    return RevisionRange{after, last, CatalogEra(3)};
+  };
+  CHECK(follower.NeedsRead(at(10), kStart));
+  follower.OnConfirmed(at(10), kStart);
+  CHECK_FALSE(follower.NeedsRead(at(10), kStart + Millis(2400)));
   // Nobody confirms any more.
-  CHECK(follower.NeedsRead(10, kStart + Millis(2600)));
+  CHECK(follower.NeedsRead(at(10), kStart + Millis(2600)));
   // An older confirmation, delayed on the way, changes nothing.
-  follower.OnConfirmed(9, kStart - Millis(100));
-  CHECK(follower.NeedsRead(10, kStart + Millis(2600)));
+  follower.OnConfirmed(at(9), kStart - Millis(100));
+  CHECK(follower.NeedsRead(at(10), kStart + Millis(2600)));
   // A revision is known that did not arrive.
   Instant now = kStart + Seconds(10);
-  follower.OnConfirmed(14, now);
-  CHECK_FALSE(follower.NeedsRead(10, now));
-  CHECK_FALSE(follower.NeedsRead(10, now + Millis(300)));
-  CHECK(follower.NeedsRead(10, now + Millis(500)));
-  CHECK_FALSE(follower.NeedsRead(14, now + Millis(500)));
-  CHECK(follower.OnChanges({8, 10}, 10) == CatalogAction::kIgnore);
-  CHECK(follower.OnChanges({10, 12}, 10) == CatalogAction::kApply);
-  CHECK(follower.OnChanges({9, 12}, 10) == CatalogAction::kApply);
-  CHECK(follower.OnChanges({12, 14}, 10) == CatalogAction::kReadMissing);
+  follower.OnConfirmed(at(14), now);
+  CHECK_FALSE(follower.NeedsRead(at(10), now));
+  CHECK_FALSE(follower.NeedsRead(at(10), now + Millis(300)));
+  CHECK(follower.NeedsRead(at(10), now + Millis(500)));
+  CHECK_FALSE(follower.NeedsRead(at(14), now + Millis(500)));
+  CHECK(follower.OnChanges(range(8, 10), at(10)) == CatalogAction::kIgnore);
+  CHECK(follower.OnChanges(range(10, 12), at(10)) == CatalogAction::kApply);
+  CHECK(follower.OnChanges(range(9, 12), at(10)) == CatalogAction::kApply);
+  CHECK(follower.OnChanges(range(12, 14), at(10)) ==
+        CatalogAction::kReadMissing);
+}
+
+// Guards against CONFIG: revisions of a lost history pass for later ones.
+TEST_CASE("a restored catalog's revisions are later than all before them") {
+  const CatalogEra before(3);
+  const CatalogEra after(4);
+  CatalogFollower follower(Millis(2500), Millis(400));
+  follower.OnConfirmed({before, 500}, kStart);
+  CHECK_FALSE(follower.NeedsRead({before, 500}, kStart));
+  // A reader of the region has read the restored catalog.
+  Instant now = kStart + Millis(100);
+  follower.OnConfirmed({after, 410}, now);
+  CHECK(follower.era() == after);
+  CHECK_FALSE(follower.NeedsRead({before, 500}, now));
+  CHECK(follower.NeedsRead({before, 500}, now + Millis(500)));
+  CHECK_FALSE(follower.NeedsRead({after, 410}, now + Millis(500)));
+  // One that is cut off from the store goes on confirming the old one.
+  follower.OnConfirmed({before, 520}, now + Seconds(3));
+  CHECK(follower.era() == after);
+  CHECK(follower.NeedsRead({after, 410}, now + Seconds(3)));
+  struct Row {
+    const char* name;
+    RevisionRange range;
+    CatalogPosition own;
+    CatalogAction action;
+  };
+  for (const Row& row : {
+           Row{"later era",
+               {410, 412, after},
+               {before, 500},
+               CatalogAction::kReadMissing},
+           Row{"later era, the same numbers",
+               {500, 502, after},
+               {before, 500},
+               CatalogAction::kReadMissing},
+           Row{"earlier era",
+               {500, 502, before},
+               {after, 410},
+               CatalogAction::kIgnore},
+           Row{"earlier era, the same numbers",
+               {410, 412, before},
+               {after, 410},
+               CatalogAction::kIgnore},
+           Row{"the same era",
+               {410, 412, after},
+               {after, 411},
+               CatalogAction::kApply},
+       }) {
+    INFO(row.name);
+    CHECK(follower.OnChanges(row.range, row.own) == row.action);
+  }
 }
 
 }  // namespace
--- a/Source/UnitTests/Platform/fake_store.cc
+++ b/Source/UnitTests/Platform/fake_store.cc
@@ -49,6 +49,29 @@
   NotifyWatches();
 }
 
+void FakeStore::TakeCopy() {
+  copy_ = {items_,         revisions_, key_leases_,
+           active_leases_, revision_,  next_lease_};
+}
+
+void FakeStore::RestoreCopy() {
+  items_ = copy_.items;
+  revisions_ = copy_.revisions;
+  key_leases_ = copy_.key_leases;
+  active_leases_ = copy_.active_leases;
+  revision_ = copy_.revision;
+  next_lease_ = copy_.next_lease;
+  history_.clear();
+  oldest_watch_revision_ = revision_;
+  if (!era.empty()) {
+    era = std::to_string(std::stoull(era) + 1);
+  }
+  for (PendingWatch& it : std::exchange(pending_watches_, {})) {
+    it.timer->Cancel();
+    it.caller->Abort();
+  }
+}
+
 void FakeStore::RevokeLeases() {
   active_leases_.clear();
   auto revoked = std::exchange(key_leases_, {});
@@ -76,14 +99,18 @@
 
 void FakeStore::SendResponse(const net::ServerConnection::Ptr& caller,
                              int status, const std::string& body) {
+  std::string text =
+      "HTTP/1.1 " + std::to_string(status) +
+      " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+      (era.empty() ? "" : "Store-Era: " + era + "\r\n") + "\r\n" + body;
   if (holds_responses) {
-    held_responses_.emplace_back(
-        [this, caller, status, body] { SendResponse(caller, status, body); });
+    held_responses_.emplace_back([caller, text] {
+      caller->Write(text);
+      caller->EndResponse(true);
+    });
     return;
   }
-  caller->Write("HTTP/1.1 " + std::to_string(status) +
-                " X\r\nContent-Length: " + std::to_string(body.size()) +
-                "\r\n\r\n" + body);
+  caller->Write(text);
   caller->EndResponse(true);
 }
 
@@ -121,9 +148,22 @@
         std::stoull(target.substr(target.rfind('/') + 1)));
     return SendResponse(caller, is_active ? 200 : 404, R"({"ttl_ms":4000})");
   }
+  if (target.starts_with("/basilvalve/kv-lease-end/")) {
+    EndLease(std::stoull(target.substr(target.rfind('/') + 1)));
+    return SendResponse(caller, 200, "{}");
+  }
   SendResponse(caller, 404, "");
 }
 
+void FakeStore::EndLease(uint64_t lease) {
+  active_leases_.erase(lease);
+  for (const auto& [key, key_lease] : std::map(key_leases_)) {
+    if (key_lease == lease) {
+      Remove(key);
+    }
+  }
+}
+
 std::string FakeStore::Range(const std::string& target) const {
   json list = json::array();
   std::string after = QueryField(target, "after");
@@ -185,7 +225,7 @@
 void FakeStore::Watch(const net::ServerConnection::Ptr& caller,
                       const std::string& target) {
   uint64_t after = std::stoull(QueryField(target, "after"));
-  if (after < oldest_watch_revision_) {
+  if (after < oldest_watch_revision_ || after > revision_) {
     return SendResponse(caller, 410, "");
   }
   if (hides_events) {
--- a/Source/UnitTests/Platform/fake_store.h
+++ b/Source/UnitTests/Platform/fake_store.h
@@ -23,6 +23,11 @@
   /// Drops the history of changes; watches from an earlier revision get status
   /// 410.
   void Compact();
+  /// Keeps a copy of everything.
+  void TakeCopy();
+  /// Comes back from the copy: what was written since is gone, revisions and
+  /// leases are given out again, and watches end. Pre: TakeCopy was called.
+  void RestoreCopy();
   /// Ends all leases and removes their keys.
   void RevokeLeases();
   const std::map<std::string, std::string>& items() const { return items_; }
@@ -38,6 +43,8 @@
   /// Modes other than kHealthy also drop the pending watches.
   void SetFailureMode(FailureMode mode);
   size_t page_size = 2;
+  /// Named in all responses unless it is empty.
+  std::string era = "1";
   /// Watches return no events, but the current revision.
   bool hides_events = false;
   /// Responses are kept back, as they were at the time of the call.
@@ -62,6 +69,7 @@
                  const net::ServerRequest& request);
   void SendResponse(const net::ServerConnection::Ptr& caller, int status,
                     const std::string& body);
+  void EndLease(uint64_t lease);
   std::string Range(const std::string& target) const;
   void Txn(const net::ServerConnection::Ptr& caller, const std::string& body);
   void Watch(const net::ServerConnection::Ptr& caller,
@@ -69,12 +77,22 @@
   std::string EventsAfter(uint64_t after) const;
   void NotifyWatches();
 
+  struct Copy {
+    std::map<std::string, std::string> items;
+    std::map<std::string, uint64_t> revisions;
+    std::map<std::string, uint64_t> key_leases;
+    std::set<uint64_t> active_leases;
+    uint64_t revision = 0;
+    uint64_t next_lease = 0;
+  };
+
   net::EventLoop* loop_;
   std::map<std::string, std::string> items_;
   std::map<std::string, uint64_t> revisions_;
   std::map<std::string, uint64_t> key_leases_;
   std::set<uint64_t> active_leases_;
   std::vector<Change> history_;
+  Copy copy_;
   std::vector<PendingWatch> pending_watches_;
   std::vector<std::function<void()>> held_responses_;
   uint64_t revision_ = 10;
--- a/Source/UnitTests/Platform/store_relay_test.cc
+++ b/Source/UnitTests/Platform/store_relay_test.cc
@@ -34,12 +34,13 @@
     items.push_back(MakeItem("k" + std::to_string(i), 101 + (i * 7) % 40));
   }
   items.back().is_removed = true;
-  auto batches = EncodeStoreChanges(items, {100, 145});
+  auto batches = EncodeStoreChanges(items, {100, 145, flow::CatalogEra(2)});
   REQUIRE(batches.size() > 1);
   uint64_t reached = 100;
   size_t total = 0;
   for (const edge::CatalogChanges& batch : batches) {
     CHECK(batch.range.after == reached);
+    CHECK(batch.range.era == flow::CatalogEra(2));
     CHECK(batch.changes.size() < 1500);
     auto decoded = DecodeStoreChanges(batch.changes);
     REQUIRE(decoded);
@@ -76,7 +77,7 @@
   for (const Row& row : rows) {
     INFO(row.name);
     uint64_t reached = 100;
-    for (const auto& batch : EncodeStoreChanges(row.items, {100, 105})) {
+    for (const auto& batch : EncodeStoreChanges(row.items, {100, 105, {}})) {
       reached = batch.range.last;
     }
     CHECK(reached == row.reached);
@@ -84,7 +85,7 @@
 }
 
 TEST_CASE("a damaged batch of changes is rejected") {
-  auto batches = EncodeStoreChanges({MakeItem("a", 101)}, {100, 101});
+  auto batches = EncodeStoreChanges({MakeItem("a", 101)}, {100, 101, {}});
   REQUIRE(batches.size() == 1);
   std::string bytes = edge::EncodeCatalogChanges(batches[0]);
   REQUIRE(edge::IsCatalogDatagram(bytes));
@@ -165,17 +166,18 @@
   }
 
   // A reader of the region confirms that the store has reached the revision.
-  void Confirm(uint64_t revision, uint64_t state_version) {
+  void Confirm(uint64_t revision, uint64_t state_version, uint64_t era = 1) {
     flow::Heartbeat heartbeat;
     heartbeat.from = Instance(-1);
     heartbeat.sequence = ++sequence;
     heartbeat.state_version = state_version;
-    heartbeat.catalog_revision = revision;
+    heartbeat.catalog_position = {flow::CatalogEra(era), revision};
     peer->Send(node->peer_endpoint(), edge::EncodeHeartbeat(heartbeat));
   }
   void PassOn(const std::vector<StoreItem>& items, uint64_t after,
-              uint64_t last) {
-    for (const auto& batch : EncodeStoreChanges(items, {after, last})) {
+              uint64_t last, uint64_t era = 1) {
+    for (const auto& batch :
+         EncodeStoreChanges(items, {after, last, flow::CatalogEra(era)})) {
       peer->Send(node->peer_endpoint(), edge::EncodeCatalogChanges(batch));
     }
   }
@@ -238,6 +240,36 @@
       Millis(4000)));
 }
 
+// Guards against CONFIG: a follower takes a lost history's revisions for later
+// ones.
+TEST_CASE("a follower reads a restored store, and nothing of the lost one") {
+  RelayFixture fixture;
+  FakeStore& store = fixture.fake_store;
+  store.TakeCopy();
+  fixture.PassOn({{"servers/u1", UpstreamEntry(80), 21, false}}, 20, 30);
+  fixture.Confirm(30, 3);
+  REQUIRE(
+      fixture.RunUntil([&] { return fixture.HasUpstream("u1"); }, Millis(500)));
+  store.RestoreCopy();
+  store.Put("op/config", DesiredState(4));
+  store.Put("servers/u2", UpstreamEntry(81));
+  // A reader that has read the new history: its revisions are below the old.
+  fixture.Confirm(22, 4, /*era=*/2);
+  CHECK(fixture.RunUntil([&] { return fixture.HasUpstream("u2"); },
+                         Millis(2500)));
+  CHECK(fixture.node->metrics().Text().find("state_version 4") !=
+        std::string::npos);
+  // One that is cut off from the store goes on with the lost one.
+  fixture.PassOn({{"servers/u3", UpstreamEntry(82), 31, false}}, 20, 31);
+  fixture.Confirm(31, 4);
+  fixture.PassOn({{"servers/u4", UpstreamEntry(83), 23, false}}, 22, 23,
+                 /*era=*/2);
+  fixture.Confirm(23, 4, /*era=*/2);
+  CHECK(
+      fixture.RunUntil([&] { return fixture.HasUpstream("u4"); }, Millis(500)));
+  CHECK_FALSE(fixture.HasUpstream("u3"));
+}
+
 // Guards against DRAIN and EVAC: a full read takes back later changes.
 TEST_CASE("a read that ends late does not undo changes passed on meanwhile") {
   RelayFixture fixture;
