Registration: a lease of a lost history is neither renewed nor ended

Callers saw: nothing yet; an instance could be missing from the store for good while it renews with 200, or end another instance's registration as it stops. Cause: a lease's number was taken for this instance's lease. A store that comes back from an older copy gives the numbers out again.

--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -273,8 +273,8 @@
     node = std::move(*edge::EdgeNode::Create(&loop, settings, &dialect));
     store = std::make_unique<StoreClient>(&loop, fake_store.endpoint(),
                                           &node->metrics());
-    registration = std::make_unique<Registration>(&loop, store.get(),
-                                                  settings.self, Millis(1000));
+    registration = std::make_unique<Registration>(
+        &loop, store.get(), settings.self, Millis(1000), /*seed=*/1);
     watcher = std::make_unique<StoreWatcher>(
         &loop, store.get(), node.get(), &boot,
         [this] { registration->OnEntryMissing(); });
--- a/Source/UnitTests/Platform/store_restore_test.cc
+++ b/Source/UnitTests/Platform/store_restore_test.cc
@@ -53,7 +53,7 @@
     store = std::make_unique<StoreClient>(&loop, fake_store.endpoint(),
                                           &node->metrics());
     registration = std::make_unique<Registration>(
-        &loop, store.get(), settings.self, Millis(1000));
+        &loop, store.get(), settings.self, Millis(1000), /*seed=*/1);
     watcher = std::make_unique<StoreWatcher>(
         &loop, store.get(), node.get(), &boot,
         [this] { registration->OnEntryMissing(); });
@@ -220,6 +220,37 @@
   }
 }
 
+// Guards against an instance without its entry: its lease's number is another
+// one's now.
+TEST_CASE("a lease of a lost history is neither renewed nor ended") {
+  for (bool stops : {false, true}) {
+    RestoreFixture fixture;
+    fixture.fake_store.TakeCopy();
+    fixture.registration->Start();
+    REQUIRE(fixture.WaitFor([&] { return fixture.IsRegistered(); }));
+    fixture.fake_store.RestoreCopy();
+    REQUIRE_FALSE(fixture.IsRegistered());
+    // Another instance gets the same number.
+    StoreClient other(&fixture.loop, fixture.fake_store.endpoint(),
+                      &fixture.node->metrics());
+    uint64_t lease = 0;
+    other.GrantLease(Millis(4000),
+                     [&](const StoreReply& reply) { lease = reply.lease; });
+    REQUIRE(fixture.WaitFor([&] { return lease != 0; }));
+    bool is_written = false;
+    other.Put("instances/other", "{}", lease,
+              [&](const StoreReply&) { is_written = true; });
+    REQUIRE(fixture.WaitFor([&] { return is_written; }));
+    CHECK(fixture.WaitFor([&] { return fixture.IsRegistered(); }));
+    if (stops) {
+      fixture.registration->Stop();
+      fixture.RunFor(Millis(100));
+      CHECK_FALSE(fixture.IsRegistered());
+    }
+    CHECK(fixture.fake_store.items().contains("instances/other"));
+  }
+}
+
 TEST_CASE("a response of an earlier era counts as none") {
   RestoreFixture fixture;
   FakeStore& store = fixture.fake_store;
