Test: the process soak's store comes back from older copies

Change: StoreStandIn takes a copy, goes away and comes back in a later era; the operator writes again after 50 to 1,500 ms, upstreams within their 1.2 s, silent ones are removed after 3.6 s. Trouble 'restore'. At the end every calm gateway has the version that was written last.

--- a/Source/BasilvalveProcessSoak/gateway_fleet.cc
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.cc
@@ -21,6 +21,8 @@
 
 constexpr int kInternalPort = 23'000;
 constexpr int kPeerOffset = 8;
+// As the gateway has it.
+constexpr int kMetricsPort = 9464;
 constexpr int kFrontPort = 24'000;
 constexpr int64_t kRestartMs = 500;
 constexpr int64_t kGraceMs = 8000;
@@ -89,9 +91,13 @@
           StoreStandIn::Reply reply =
               store_->Answer(request.Target(), request.body);
           SleepMs(kStoreMs);
+          if (reply.status == 0) {
+            return;
+          }
           std::string text = reply.body.dump();
           if (!channel.Write("HTTP/1.1 " + std::to_string(reply.status) +
-                             " X\r\nContent-Type: application/json\r\n"
+                             " X\r\n" + EraLine(store_->era()) +
+                             "Content-Type: application/json\r\n"
                              "Content-Length: " +
                              std::to_string(text.size()) + "\r\n\r\n" + text)) {
             return;
@@ -232,6 +238,31 @@
   }
 }
 
+int64_t GatewayFleet::StateVersion(const GatewayPlace& place) {
+  int fd = Channel::Connect(place.ip, kMetricsPort, 500);
+  if (fd < 0) {
+    return -1;
+  }
+  Channel channel(fd);
+  HttpMessage answer;
+  bool is_answered =
+      channel.Write(MetricsRequest()) &&
+      channel.Read(&answer, NowMs() + 1000, true) == ReadStatus::kDone;
+  return is_answered ? StateVersionOf(answer.body) : -1;
+}
+
+void GatewayFleet::JudgeStates(int64_t version) {
+  for (const Gateway& gateway : gateways_) {
+    const std::string& name = gateway.place.name;
+    int64_t applied = StateVersion(gateway.place);
+    if (applied != version && ledger_->IsCalmNow(name)) {
+      ledger_->AddViolation("CONFIG: " + name + " has version " +
+                            std::to_string(applied) + ", not " +
+                            std::to_string(version));
+    }
+  }
+}
+
 void GatewayFleet::Stop() {
   std::lock_guard lock(mutex_);
   is_stopping_ = true;
--- a/Source/BasilvalveProcessSoak/gateway_fleet.h
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.h
@@ -40,6 +40,9 @@
               const std::vector<std::string>& zones, uint64_t seed);
   bool StartAll(int ready_timeout_ms);
   void Signal(size_t i, int number);
+  /// A gateway that has not been disturbed lately and has another version of
+  /// the desired state is a violation.
+  void JudgeStates(int64_t version);
   /// Ends all processes.
   void Stop();
   /// Copies the gateways' logs.
@@ -57,6 +60,8 @@
   bool Launch(Gateway* gateway);
   void Watch();
   bool IsReady(const GatewayPlace& place) const;
+  /// -1 if the gateway does not tell.
+  static int64_t StateVersion(const GatewayPlace& place);
   std::string Path(const Gateway& gateway, const char* ending) const;
 
   std::string program_;
--- a/Source/BasilvalveProcessSoak/ledger.cc
+++ b/Source/BasilvalveProcessSoak/ledger.cc
@@ -100,6 +100,11 @@
                       });
 }
 
+bool Ledger::IsCalmNow(const std::string& who) {
+  std::lock_guard lock(mutex_);
+  return IsCalm(who, NowMs());
+}
+
 void Ledger::JudgeOverlap(const std::string& id, const Attempt& attempt) {
   for (const Run& before : attempt.runs) {
     for (const Run& after : attempt.runs) {
--- a/Source/BasilvalveProcessSoak/ledger.h
+++ b/Source/BasilvalveProcessSoak/ledger.h
@@ -31,6 +31,8 @@
   /// This process itself did not run for a while: its workers may have noticed
   /// late that a caller was gone.
   void OnStalled();
+  /// Whether it was not disturbed for the last seconds.
+  bool IsCalmNow(const std::string& who);
   void Count(const std::string& what);
   void AddViolation(const std::string& line);
 
--- a/Source/BasilvalveProcessSoak/soak.cc
+++ b/Source/BasilvalveProcessSoak/soak.cc
@@ -128,6 +128,7 @@
   is_over_ = true;
   WaitForClients();
   SleepMs(kLastRunMs);
+  fleet_.JudgeStates(schedule.version());
   std::vector<std::string> violations = ledger_.Judge();
   fleet_.Stop();
   for (const GatewayFleet::Gateway& gateway : fleet_.gateways()) {
--- a/Source/BasilvalveProcessSoak/trouble_schedule.cc
+++ b/Source/BasilvalveProcessSoak/trouble_schedule.cc
@@ -14,6 +14,8 @@
 constexpr int64_t kTerminationMs = 9000;
 constexpr double kFaultWeight = 1.5;
 constexpr int64_t kTwoIdsMs = 4000;
+// Of an upstream that writes no more.
+constexpr int64_t kExpiryMs = 3600;
 
 }  // namespace
 
@@ -44,6 +46,7 @@
       {"drain", 1, &TroubleSchedule::DrainWorker},
       {"pause-worker", 2, &TroubleSchedule::PauseWorker},
       {"evacuate", 0.3, &TroubleSchedule::Evacuate},
+      {"restore", 0.5, &TroubleSchedule::RestoreStore},
       {"link-worker", 5, &TroubleSchedule::HarmWorkerLink},
       {"link-front", 2, &TroubleSchedule::HarmFrontLink},
       {"link-peer", 4, &TroubleSchedule::HarmPeerLink},
@@ -117,7 +120,7 @@
     SleepMs(
         static_cast<int64_t>(-std::log(1 - DrawShare(0, 1)) * mean_pause_ms));
     if (NowMs() >= until_ms) {
-      return;
+      break;
     }
     size_t i = which(random_);
     if (i < Kinds().size()) {
@@ -127,6 +130,9 @@
       PlayFault(static_cast<Fault>(i - Kinds().size()));
     }
   }
+  while (is_restoring_) {
+    SleepMs(kExpiryMs / 100);
+  }
 }
 
 int64_t TroubleSchedule::Draw(int64_t from, int64_t to) {
@@ -248,6 +254,30 @@
   });
 }
 
+void TroubleSchedule::RestoreStore() {
+  if (is_restoring_.exchange(true)) {
+    return;
+  }
+  int64_t age_ms = Draw(500, 6000);
+  int64_t away_ms = Draw(50, 2000);
+  int64_t rewrite_ms = Draw(50, 1500);
+  store_->TakeCopy();
+  Later(age_ms, [this, age_ms, away_ms, rewrite_ms] {
+    ledger_->Line("store away for %lld ms, comes back %lld ms older",
+                  static_cast<long long>(away_ms),
+                  static_cast<long long>(age_ms));
+    ledger_->Count("restores");
+    store_->GoAway();
+    SleepMs(away_ms);
+    store_->RestoreCopy();
+    SleepMs(rewrite_ms);
+    store_->RewriteOperatorItems();
+    SleepMs(kExpiryMs - rewrite_ms);
+    store_->RemoveSilentUpstreams();
+    is_restoring_ = false;
+  });
+}
+
 void TroubleSchedule::HarmLink(Proxy* proxy, const std::string& who,
                                const char* what) {
   int64_t ms = Draw(100, 4000);
--- a/Source/BasilvalveProcessSoak/trouble_schedule.h
+++ b/Source/BasilvalveProcessSoak/trouble_schedule.h
@@ -28,6 +28,8 @@
   /// Plays until the time of NowMs, then ends what still goes on.
   void Run(int64_t until_ms, int mean_pause_ms);
   static std::string Names();
+  /// Version of the desired state that the operator wrote last.
+  int version() const { return version_; }
 
  private:
   struct Kind {
@@ -48,6 +50,7 @@
   void DrainWorker();
   void PauseWorker();
   void Evacuate();
+  void RestoreStore();
   void HarmWorkerLink();
   void HarmFrontLink();
   void HarmPeerLink();
@@ -73,6 +76,8 @@
   std::set<std::string> chosen_;
   int64_t gateways_;
   int version_ = 7;
+  // A copy of the store was taken that it has not come back from yet.
+  std::atomic<bool> is_restoring_{false};
 };
 
 }  // namespace basilvalve::process_soak
--- a/Source/UnitTests/Platform/Soak/platform_words.cc
+++ b/Source/UnitTests/Platform/Soak/platform_words.cc
@@ -144,6 +144,21 @@
   return "GET /basilvalve/readyz HTTP/1.1\r\nHost: p\r\n\r\n";
 }
 
+std::string MetricsRequest() {
+  return "GET /metrics HTTP/1.1\r\nHost: p\r\n\r\n";
+}
+
+int64_t StateVersionOf(const std::string& metrics) {
+  const std::string name = "\nbasilvalve_edge_state_version ";
+  size_t at = metrics.find(name);
+  return at == std::string::npos ? -1
+                                 : std::stoll(metrics.substr(at + name.size()));
+}
+
+std::string EraLine(uint64_t era) {
+  return "Store-Era: " + std::to_string(era) + "\r\n";
+}
+
 std::string RequestLines(const RequestWords& words) {
   std::string lines = "Host: soak.example\r\nX-Request-Id: " + words.id +
                       "\r\nX-Sent-To: " + words.entry +
--- a/Source/UnitTests/Platform/Soak/platform_words.h
+++ b/Source/UnitTests/Platform/Soak/platform_words.h
@@ -66,6 +66,12 @@
 std::string UpstreamText(const UpstreamEntry& entry);
 std::string EvacuationKey(const std::string& zone);
 std::string ReadyRequest();
+std::string MetricsRequest();
+/// Version of the desired state that the text of a metrics response has; -1 if
+/// it has none.
+int64_t StateVersionOf(const std::string& metrics);
+/// Header line of all answers of the store.
+std::string EraLine(uint64_t era);
 /// Header lines of a request, each with its line end.
 std::string RequestLines(const RequestWords& words);
 /// Head of an answer without its framing and its empty line.
--- a/Source/UnitTests/Platform/Soak/store_stand_in.cc
+++ b/Source/UnitTests/Platform/Soak/store_stand_in.cc
@@ -13,6 +13,8 @@
 using platform_adapter::DecodeBase64;
 using platform_adapter::EncodeBase64;
 
+const std::string kOperatorPrefix = "op/";
+
 int64_t SteadyMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::steady_clock::now().time_since_epoch())
@@ -57,6 +59,12 @@
 
 void StoreStandIn::Put(const std::string& key, const std::string& value) {
   std::lock_guard lock(mutex_);
+  if (key.starts_with(kOperatorPrefix)) {
+    operator_items_[key] = value;
+  }
+  if (is_away_) {
+    return;
+  }
   ++revision_;
   Write(key, value, 0);
   changed_.notify_all();
@@ -64,13 +72,83 @@
 
 void StoreStandIn::Remove(const std::string& key) {
   std::lock_guard lock(mutex_);
-  if (items_.contains(key)) {
+  operator_items_.erase(key);
+  if (!is_away_ && items_.contains(key)) {
     ++revision_;
     Erase(key);
     changed_.notify_all();
   }
 }
 
+void StoreStandIn::TakeCopy() {
+  std::lock_guard lock(mutex_);
+  copy_ = {items_, leases_, revision_, last_lease_};
+}
+
+void StoreStandIn::GoAway() {
+  std::lock_guard lock(mutex_);
+  is_away_ = true;
+  changed_.notify_all();
+}
+
+void StoreStandIn::RestoreCopy() {
+  std::lock_guard lock(mutex_);
+  items_ = copy_.items;
+  leases_ = copy_.leases;
+  revision_ = copy_.revision;
+  last_lease_ = copy_.last_lease;
+  std::erase_if(events_,
+                [&](const Event& e) { return e.revision > revision_; });
+  for (auto& [id, lease] : leases_) {
+    lease.ends_ms = SteadyMs() + lease.ttl_ms;
+  }
+  ++era_;
+  is_away_ = false;
+}
+
+void StoreStandIn::RewriteOperatorItems() {
+  std::lock_guard lock(mutex_);
+  for (const auto& [key, value] : operator_items_) {
+    auto it = items_.find(key);
+    if (it == items_.end() || it->second.value != value) {
+      ++revision_;
+      Write(key, value, 0);
+    }
+  }
+  std::vector<std::string> removed;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(kOperatorPrefix) && !operator_items_.contains(key)) {
+      removed.push_back(key);
+    }
+  }
+  for (const std::string& key : removed) {
+    ++revision_;
+    Erase(key);
+  }
+  changed_.notify_all();
+}
+
+void StoreStandIn::RemoveSilentUpstreams() {
+  std::lock_guard lock(mutex_);
+  std::vector<std::string> silent;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(platform_adapter::kUpstreamPrefix) &&
+        item.revision <= copy_.revision) {
+      silent.push_back(key);
+    }
+  }
+  for (const std::string& key : silent) {
+    ++revision_;
+    Erase(key);
+  }
+  changed_.notify_all();
+}
+
+uint64_t StoreStandIn::era() {
+  std::lock_guard lock(mutex_);
+  return era_;
+}
+
 json StoreStandIn::Row(const std::string& key, const Item& item) {
   return {{"key", key},
           {"value", EncodeBase64(item.value)},
@@ -138,6 +216,9 @@
                                          const std::string& body) {
   std::string path = target.substr(0, target.find('?'));
   std::unique_lock lock(mutex_);
+  if (is_away_) {
+    return {0, json::object()};
+  }
   ExpireLeases();
   if (path == "/basilvalve/kv-range") {
     return Range(Query(target, "prefix"), Query(target, "after"));
@@ -186,7 +267,14 @@
                                         uint64_t after, int64_t wait_ms) {
   auto until =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
+  uint64_t era = era_;
   for (;;) {
+    if (is_away_ || era != era_) {
+      return {0, json::object()};
+    }
+    if (after > revision_) {
+      return {410, json::object()};
+    }
     json rows = json::array();
     auto first = std::upper_bound(events_.begin(), events_.end(), after,
                                   [](uint64_t revision, const Event& e) {
--- a/Source/UnitTests/Platform/Soak/store_stand_in.h
+++ b/Source/UnitTests/Platform/Soak/store_stand_in.h
@@ -15,6 +15,7 @@
 class StoreStandIn {
  public:
   struct Reply {
+    /// 0: the store does not answer.
     int status = 200;
     nlohmann::json body = nlohmann::json::object();
   };
@@ -24,6 +25,19 @@
   void ReplacePeerAddress(const std::string& from, const std::string& to);
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  /// Keeps a copy of everything.
+  void TakeCopy();
+  /// Gives no answers from now on.
+  void GoAway();
+  /// Comes back from the copy, in a new era: revisions and leases are given out
+  /// again, and what was written since is gone. Pre: TakeCopy was called.
+  void RestoreCopy();
+  /// Writes again what the operator wrote last, where the copy has it
+  /// otherwise.
+  void RewriteOperatorItems();
+  /// Removes the upstreams that have not written since the copy came back.
+  void RemoveSilentUpstreams();
+  uint64_t era();
   /// Waits for a watch's events as long as the call asks for.
   Reply Answer(const std::string& target, const std::string& body);
 
@@ -54,9 +68,21 @@
               uint64_t after, int64_t wait_ms);
   Reply Transact(const nlohmann::json& call);
 
+  struct Copy {
+    std::map<std::string, Item> items;
+    std::map<uint64_t, Lease> leases;
+    uint64_t revision = 0;
+    uint64_t last_lease = 0;
+  };
+
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Item> items_;
+  // What the operator wrote last.
+  std::map<std::string, std::string> operator_items_;
+  Copy copy_;
+  uint64_t era_ = 1;
+  bool is_away_ = false;
   std::vector<Event> events_;
   std::map<uint64_t, Lease> leases_;
   std::vector<std::pair<std::string, std::string>> peer_addresses_;
--- a/Source/UnitTests/Platform/store_restore_test.cc
+++ b/Source/UnitTests/Platform/store_restore_test.cc
@@ -273,7 +273,8 @@
 }
 
 TEST_CASE("an era that cannot be read says nothing") {
-  for (const char* era : {"", "x", "-1", "1.5", "7,8", "99999999999999999999"}) {
+  for (const char* era :
+       {"", "x", "-1", "1.5", "7,8", "99999999999999999999"}) {
     INFO(era);
     RestoreFixture fixture;
     fixture.Start();
