--- a/Source/UnitTests/Platform/store_relay_test.cc
+++ b/Source/UnitTests/Platform/store_relay_test.cc
@@ -270,6 +270,21 @@
   CHECK_FALSE(fixture.HasUpstream("u3"));
 }
 
+TEST_CASE(
+    "a store that names no era is read once for a neighbour's later one") {
+  RelayFixture fixture;
+  fixture.fake_store.era = "";
+  fixture.fake_store.Put("op/config", DesiredState(4));
+  uint64_t calls = fixture.fake_store.call_count();
+  for (int i = 0; i < 10; ++i) {
+    fixture.Confirm(21, 4, /*era=*/2);
+    fixture.RunUntil([] { return false; }, Millis(200));
+  }
+  CHECK(fixture.node->metrics().Text().find("state_version 4") !=
+        std::string::npos);
+  CHECK(fixture.fake_store.call_count() - calls < 5);
+}
+
 // Guards against DRAIN and EVAC: a full read takes back later changes.
 TEST_CASE("a read that ends late does not undo changes passed on meanwhile") {
   RelayFixture fixture;
