Desired state: workspaces with keys, a quota and homes

Cause: two deployments identify callers by keys; the desired state has no place for them, so keys went on to upstreams and no quota held. Change: flow::Workspace, DesiredState::Authenticate, Route::is_anonymous. Nothing reads them yet; a desired state without workspaces is as before.

--- a/Source/Core/Flow/desired_state.cc
+++ b/Source/Core/Flow/desired_state.cc
@@ -10,9 +10,7 @@
 }
 
 bool Route::Permits(const RegionId& region) const {
-  return allowed_regions.empty() ||
-         std::find(allowed_regions.begin(), allowed_regions.end(), region) !=
-             allowed_regions.end();
+  return PermitsRegion(allowed_regions, region);
 }
 
 const ServiceName& Route::ServiceFor(uint64_t call_hash) const {
@@ -35,7 +33,8 @@
 
 DesiredState::DesiredState(uint64_t version, std::vector<Route> routes,
                            std::map<ServiceName, ServiceTraits> services,
-                           IngressLimits limits)
+                           IngressLimits limits,
+                           std::vector<Workspace> workspaces)
     : version_(version), services_(std::move(services)), limits_(limits) {
   for (Route& route : routes) {
     auto shared = std::make_shared<const Route>(std::move(route));
@@ -48,6 +47,19 @@
                        return left->prefix.size() > right->prefix.size();
                      });
   }
+  for (Workspace& workspace : workspaces) {
+    auto shared = std::make_shared<const Workspace>(std::move(workspace));
+    for (const std::string& key : shared->keys) {
+      by_key_.emplace(key, shared);
+    }
+    workspaces_.push_back(std::move(shared));
+  }
+}
+
+std::shared_ptr<const Workspace> DesiredState::Authenticate(
+    std::string_view key) const {
+  auto it = by_key_.find(std::string(key));
+  return it == by_key_.end() ? nullptr : it->second;
 }
 
 std::shared_ptr<const Route> DesiredState::Match(std::string_view host,
--- a/Source/Core/Flow/desired_state.h
+++ b/Source/Core/Flow/desired_state.h
@@ -13,6 +13,7 @@
 
 #include "Core/Common/clock.h"
 #include "Core/Common/strong_id.h"
+#include "Core/Flow/workspace.h"
 
 namespace basilvalve::flow {
 
@@ -50,6 +51,8 @@
   bool is_resumable = false;
   /// Regions in which the data may reside; empty permits all.
   std::vector<RegionId> allowed_regions;
+  /// Whether callers need no key, also if the desired state has workspaces.
+  bool is_anonymous = false;
 
   /// Whether a call may be retried after an upstream may have executed it.
   /// Thread safe.
@@ -88,10 +91,11 @@
 /// readers.
 class DesiredState {
  public:
-  /// Indexes the routes by host.
+  /// Indexes the routes by host and the workspaces by key. A key that several
+  /// workspaces have belongs to the first one.
   DesiredState(uint64_t version, std::vector<Route> routes,
                std::map<ServiceName, ServiceTraits> services,
-               IngressLimits limits);
+               IngressLimits limits, std::vector<Workspace> workspaces = {});
 
   uint64_t version() const { return version_; }
   const IngressLimits& limits() const { return limits_; }
@@ -106,6 +110,14 @@
   bool HostPermits(std::string_view host, const RegionId& region) const;
   /// Traits of a service; nullptr if it is unknown. Thread safe.
   const ServiceTraits* TraitsOf(const ServiceName& service) const;
+  /// Whether callers are identified by a key.
+  bool has_workspaces() const { return !workspaces_.empty(); }
+  const std::vector<std::shared_ptr<const Workspace>>& workspaces() const {
+    return workspaces_;
+  }
+  /// The workspace that the key belongs to; nullptr if it is unknown. Thread
+  /// safe.
+  std::shared_ptr<const Workspace> Authenticate(std::string_view key) const;
 
  private:
   uint64_t version_;
@@ -115,6 +127,8 @@
   // Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<std::shared_ptr<const Route>>>
       by_host_;
+  std::vector<std::shared_ptr<const Workspace>> workspaces_;
+  std::unordered_map<std::string, std::shared_ptr<const Workspace>> by_key_;
 };
 
 }  // namespace basilvalve::flow
