Edge: calls are identified by a key and run for its workspace

Cause: keys went on to upstreams, callers could name any workspace, and neither homes nor priority of a workspace had an effect. IdentifyCaller (Core/Edge) decides by route and key: 401, or a call with or without a workspace. SerializeRequest removes the caller's headers for key and workspace if the desired state has workspaces; the upstream is told the workspace. The hop header carries its name and priority behind the fields of earlier versions. CallContext::Permits asks route and workspace. Urgency and rank order by workspace, then by route; without a workspace both are as before, and statistics stay keyed by the route's priority. Refusals get the reason phrase of their status.

--- a/Source/Core/Edge/call_dialect.h
+++ b/Source/Core/Edge/call_dialect.h
@@ -17,6 +17,9 @@
 struct CallParams {
   RequestId id;
   std::string host;
+  /// Key of the caller's workspace; empty if the request has none. Never
+  /// logged.
+  std::string key;
   /// How long the caller waits; nullopt if the request does not say.
   std::optional<Millis> caller_timeout;
   flow::CallSize size;
@@ -33,6 +36,10 @@
   std::optional<int64_t> resume_after;
   /// An upstream from which the receiver can copy cached parts of the prompt.
   std::optional<net::Endpoint> prompt_source;
+  /// Whether the caller's own headers for key and workspace are removed.
+  bool hides_identity = false;
+  /// Workspace that the receiver is told; empty if none.
+  WorkspaceId workspace;
 };
 
 /// Which call a response names as the one that it answers. A connection may
@@ -98,6 +105,9 @@
       const net::MessageHead& head) const = 0;
   /// Whether a header of the caller's request is forwarded to upstreams.
   virtual bool ForwardsHeader(const std::string& header) const = 0;
+  /// Whether a header of the caller's request carries its key or names its
+  /// workspace.
+  virtual bool IsIdentityHeader(const std::string& header) const = 0;
   /// Whether a header of an upstream's response is forwarded to callers and to
   /// other instances. False for what the upstream tells this instance alone.
   virtual bool ForwardsResponseHeader(const std::string& header) const = 0;
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -116,6 +116,8 @@
   LogEvent(LogLevel::kInfo, "edge", "call_ended")
       .With("request", params.id.value())
       .With("route", context.route->name)
+      .With("workspace",
+            context.workspace ? context.workspace->name.value() : "")
       .With("state_version", static_cast<int64_t>(context.state_version))
       .With("outcome", summary.outcome)
       .With("status", summary.status)
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -10,6 +10,11 @@
 constexpr int kTopRankUrgency = 3;
 constexpr int kUrgencyStep = 2;
 constexpr int kLowestUrgency = 9;
+// Of calls with a workspace, three workspace priorities with three route
+// priorities each fill the urgencies 0 to 8; all lower ones share the last.
+constexpr int kWorkspaceUrgencies = 3;
+// More than route priorities in use, so that ranks order by workspace first.
+constexpr int kRanksPerWorkspacePriority = 1000;
 // For streams: shorter than an interval between events that callers notice,
 // longer than a long engine step.
 constexpr Millis kStreamSilenceTimeout{650};
@@ -33,7 +38,7 @@
   input.is_model_call = params.size.IsModelCall();
   input.tokens_to_prefill =
       params.size.parts.empty() ? 0 : params.size.parts.back().tokens;
-  input.rank = route.priority;
+  input.rank = RankOf(context);
   input.time_to_target = progress.time_to_target;
   input.time_to_deadline = progress.time_to_deadline;
   input.remote_round_trip = components->region_round_trip;
@@ -88,9 +93,28 @@
       Micros(static_cast<int64_t>(jitter * static_cast<double>(left.count()))));
 }
 
-int UrgencyOf(const flow::Route& route) {
-  return std::clamp(kTopRankUrgency + kUrgencyStep * route.priority, 0,
-                    kLowestUrgency);
+int UrgencyOf(const CallContext& context) {
+  int route = context.route->priority;
+  if (context.workspace == nullptr) {
+    return std::clamp(kTopRankUrgency + kUrgencyStep * route, 0,
+                      kLowestUrgency);
+  }
+  int workspace =
+      std::clamp(context.workspace->priority, 0, kWorkspaceUrgencies);
+  return std::min(kLowestUrgency,
+                  kWorkspaceUrgencies * workspace +
+                      std::clamp(route, 0, kWorkspaceUrgencies - 1));
+}
+
+int RankOf(const CallContext& context) {
+  int route = context.route->priority;
+  if (context.workspace == nullptr) {
+    return route;
+  }
+  int workspace =
+      std::clamp(context.workspace->priority, 0, flow::kMaxWorkspacePriority);
+  return kRanksPerWorkspacePriority * workspace +
+         std::clamp(route, 0, kRanksPerWorkspacePriority - 1);
 }
 
 Millis SilenceTimeout(const flow::Route& route, bool has_started) {
@@ -116,7 +140,8 @@
   flow::DispatchInput input =
       BuildDispatchInput(components, context, params, progress);
   CallPlan plan;
-  if (context.is_from_peer || route.Permits(components->fleet->self().region)) {
+  if (context.is_from_peer ||
+      context.Permits(components->fleet->self().region)) {
     flow::PlacementRequest request;
     request.route = &route;
     request.traits = &context.traits;
@@ -146,7 +171,7 @@
   if (!context.is_from_peer) {
     for (flow::RegionCapacity& capacity :
          components->fleet->RemoteCapacities(context.service, now)) {
-      if (route.Permits(capacity.region) &&
+      if (context.Permits(capacity.region) &&
           !progress.tried_regions.contains(capacity.region)) {
         input.remote_capacities.push_back(std::move(capacity));
       }
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -12,6 +12,11 @@
 /// The route, service and time limits of a call.
 struct CallContext {
   std::shared_ptr<const flow::Route> route;
+  /// The caller's workspace; nullptr if it has none. For a call from a peer, it
+  /// has only name and priority.
+  std::shared_ptr<const flow::Workspace> workspace;
+  /// Whether the caller's own headers for key and workspace are removed.
+  bool hides_identity = false;
   ServiceName service;
   /// Version of the desired state that the route was taken from; 0 for a call
   /// from a peer.
@@ -35,6 +40,12 @@
   bool can_sender_retry = false;
   /// The upstream that it had in mind; empty if none.
   UpstreamId suggested_upstream;
+
+  /// Whether data residency of route and workspace permits the region.
+  bool Permits(const RegionId& region) const {
+    return route->Permits(region) &&
+           (workspace == nullptr || workspace->Permits(region));
+  }
 };
 
 /// Where the call was sent so far, and the time it has left.
@@ -59,9 +70,14 @@
   std::optional<flow::BlockedPart> blocked;
 };
 
-/// Urgency that is sent to engines with a route's calls, from the route's
-/// priority. Thread safe.
-int UrgencyOf(const flow::Route& route);
+/// Urgency that is sent to engines with the call, from 0 (the highest) to 9:
+/// by the priority of the workspace if there is one, then by the route's.
+/// Thread safe.
+int UrgencyOf(const CallContext& context);
+
+/// Rank of the call in admission, in the same order; 0 is the most urgent.
+/// Thread safe.
+int RankOf(const CallContext& context);
 
 /// How long an upstream may send nothing before a call of the route is retried
 /// elsewhere, and a stream that has started is resumed. Thread safe.
--- /dev/null
+++ b/Source/Core/Edge/caller_identity.h
@@ -0,0 +1,26 @@
+// Identifies the workspace of a caller by its key.
+#pragma once
+
+#include <memory>
+#include <string_view>
+
+#include "Core/Flow/desired_state.h"
+
+namespace basilvalve::edge {
+
+/// Whether a caller may use a route, and on whose behalf.
+struct CallerIdentity {
+  bool is_accepted = true;
+  /// nullptr if the caller has no workspace.
+  std::shared_ptr<const flow::Workspace> workspace;
+  /// Whether the caller's own headers for key and workspace are removed.
+  bool hides_identity = false;
+};
+
+/// Looks up the caller's key, which is empty if it sent none. Without
+/// workspaces in the desired state, every caller is accepted. Pure function;
+/// thread safe.
+CallerIdentity IdentifyCaller(const flow::DesiredState& state,
+                              const flow::Route& route, std::string_view key);
+
+}  // namespace basilvalve::edge
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -4,6 +4,7 @@
 
 #include "Core/Common/hash.h"
 #include "Core/Common/log.h"
+#include "Core/Edge/caller_identity.h"
 #include "Core/Edge/heartbeat_codec.h"
 #include "Core/Edge/message_serializer.h"
 
@@ -184,8 +185,10 @@
                              const net::ServerRequest& request, int status,
                              std::string_view reason) {
   bool keep = request.head.keep_alive && !caller->is_closing() && status != 400;
-  std::string out = "HTTP/1.1 " + std::to_string(status) +
-                    " Refused\r\nContent-Length: 0\r\n";
+  std::string out = StatusLine(status) + "Content-Length: 0\r\n";
+  if (status == 401) {
+    out.append("WWW-Authenticate: Bearer\r\n");
+  }
   if (status == 503) {
     double seconds =
         is_draining_ ? 0.0
@@ -221,7 +224,14 @@
     RejectRequest(caller, request, 404, "no matching route");
     return;
   }
+  CallerIdentity identity = IdentifyCaller(*state_, *route, params->key);
+  if (!identity.is_accepted) {
+    RejectRequest(caller, request, 401, "unknown or missing key");
+    return;
+  }
   CallContext context;
+  context.workspace = std::move(identity.workspace);
+  context.hides_identity = identity.hides_identity;
   context.service = route->ServiceFor(Hash64(params->id.value()));
   if (const auto* traits = state_->TraitsOf(context.service)) {
     context.traits = *traits;
@@ -295,6 +305,16 @@
   context.is_resumed = hop->is_resumed;
   context.can_sender_retry = hop->can_sender_retry;
   context.suggested_upstream = hop->suggested_upstream;
+  if (!hop->workspace.empty()) {
+    auto workspace = std::make_shared<flow::Workspace>();
+    workspace->name = hop->workspace;
+    workspace->priority = hop->workspace_priority;
+    context.workspace = std::move(workspace);
+  }
+  // The sender has removed the headers already, unless its desired state is
+  // older and has no workspaces.
+  context.hides_identity = context.workspace != nullptr ||
+                           (state_ != nullptr && state_->has_workspaces());
   context.route = std::move(route);
   StartExchange(caller, std::move(request), std::move(*params),
                 std::move(context));
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -160,7 +160,11 @@
   }
   params.expected_upstream = placement.upstream->record.id;
   params.time_left = TimeLeft();
-  params.urgency = UrgencyOf(*context_.route);
+  params.urgency = UrgencyOf(context_);
+  params.hides_identity = context_.hides_identity;
+  if (context_.workspace) {
+    params.workspace = context_.workspace->name;
+  }
   params.resume_after = ResumeAfter();
   components_->metrics->CountSend("here");
   BeginAttempt(components_->upstream_pool->Take(attempt_.endpoint,
@@ -229,6 +233,10 @@
   hop.kind = route.kind;
   hop.is_resumable = route.is_resumable;
   hop.priority = route.priority;
+  if (context_.workspace) {
+    hop.workspace = context_.workspace->name;
+    hop.workspace_priority = context_.workspace->priority;
+  }
   // Once a stream has started, no rejection can follow, so that the margin
   // would only cut its end.
   hop.time_left =
@@ -239,6 +247,7 @@
   hop.event_interval_target = route.event_interval_target;
   SendParams params;
   params.time_left = hop.time_left;
+  params.hides_identity = context_.hides_identity;
   params.resume_after = ResumeAfter();
   std::string bytes = SerializeRequest(request_, *components_->dialect, params,
                                        FormatHopHeader(hop));
--- a/Source/Core/Edge/hop_header.cc
+++ b/Source/Core/Edge/hop_header.cc
@@ -6,6 +6,25 @@
 namespace {
 
 constexpr std::string_view kNoUpstream = "-";
+// Precedes the name of a workspace, so that no name reads as kNoWorkspace.
+constexpr char kWorkspaceMark = '=';
+constexpr std::string_view kNoWorkspace = "-";
+
+// Reads the fields that follow those of earlier versions, if there are any.
+// Returns whether they are well-formed.
+bool ReadWorkspace(std::istringstream* in, HopParams* params) {
+  std::string workspace;
+  if (!(*in >> workspace)) {
+    return true;
+  }
+  *in >> params->workspace_priority;
+  if (workspace.starts_with(kWorkspaceMark)) {
+    params->workspace = WorkspaceId(workspace.substr(1));
+  } else if (workspace != kNoWorkspace) {
+    return false;
+  }
+  return !in->fail() && params->workspace_priority >= 0;
+}
 
 }  // namespace
 
@@ -33,9 +52,12 @@
       << ' ' << params.target_left.count() << ' '
       << params.event_interval_target.count() << ' ' << params.is_last_hop
       << ' ' << params.is_resumed << ' ' << params.can_sender_retry << ' '
-      << (params.suggested_upstream.empty()
-              ? std::string(kNoUpstream)
-              : params.suggested_upstream.value());
+      << (params.suggested_upstream.empty() ? std::string(kNoUpstream)
+                                            : params.suggested_upstream.value())
+      << ' '
+      << (params.workspace.empty() ? std::string(kNoWorkspace)
+                                   : kWorkspaceMark + params.workspace.value())
+      << ' ' << params.workspace_priority;
   return out.str();
 }
 
@@ -65,6 +87,9 @@
   if (upstream != kNoUpstream) {
     params.suggested_upstream = UpstreamId(upstream);
   }
+  if (!ReadWorkspace(&in, &params)) {
+    return std::nullopt;
+  }
   return params;
 }
 
--- a/Source/Core/Edge/hop_header.h
+++ b/Source/Core/Edge/hop_header.h
@@ -53,6 +53,9 @@
   bool can_sender_retry = false;
   /// The upstream that the sender suggests; empty if none.
   UpstreamId suggested_upstream;
+  /// Workspace of the caller; empty if none.
+  WorkspaceId workspace;
+  int workspace_priority = 0;
 };
 
 /// A failure as an instance reports it to the one that forwarded the call.
@@ -77,7 +80,8 @@
 
 /// Thread safe.
 std::string FormatHopHeader(const HopParams& params);
-/// Inverse of FormatHopHeader; nullopt if the text is malformed. Thread safe.
+/// Inverse of FormatHopHeader; nullopt if the text is malformed. Reads text
+/// without a workspace, too, as earlier versions write it. Thread safe.
 std::optional<HopParams> ParseHopHeader(const std::string& text);
 
 }  // namespace basilvalve::edge
--- a/Source/Core/Edge/message_serializer.cc
+++ b/Source/Core/Edge/message_serializer.cc
@@ -45,6 +45,12 @@
   switch (status) {
     case 200:
       return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
     case 429:
       return "Too Many Requests";
     case 502:
@@ -58,12 +64,6 @@
   }
 }
 
-std::string StatusLine(int status) {
-  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-  out.append(ReasonPhrase(status)).append("\r\n");
-  return out;
-}
-
 void AppendHeader(std::string_view name, std::string_view value,
                   std::string* head) {
   head->append(name).append(": ").append(value).append("\r\n");
@@ -75,6 +75,12 @@
 
 }  // namespace
 
+std::string StatusLine(int status) {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(ReasonPhrase(status)).append("\r\n");
+  return out;
+}
+
 std::string SerializeRequest(const net::ServerRequest& request,
                              const CallDialect& dialect,
                              const SendParams& params,
@@ -84,6 +90,7 @@
   for (const net::HeaderField& field : request.head.fields) {
     if (!IsHopByHop(request.head, field.name) &&
         dialect.ForwardsHeader(field.name) &&
+        !(params.hides_identity && dialect.IsIdentityHeader(field.name)) &&
         !net::EqualsIgnoringCase(field.name, kHopHeader)) {
       AppendHeader(field.name, field.value, &out);
     }
--- a/Source/Core/Edge/message_serializer.h
+++ b/Source/Core/Edge/message_serializer.h
@@ -12,6 +12,8 @@
 
 namespace basilvalve::edge {
 
+/// The first line of a response. Thread safe.
+std::string StatusLine(int status);
 /// A caller's request for an upstream or peer: hop-by-hop headers are removed
 /// and the headers that this system sets are added. `hop_header` is the value
 /// of the hop header for a peer instance, empty for an upstream. Thread safe.
--- a/Source/Core/Flow/workspace.h
+++ b/Source/Core/Flow/workspace.h
@@ -19,6 +19,9 @@
          std::find(allowed.begin(), allowed.end(), region) != allowed.end();
 }
 
+/// Lowest priority that a workspace may have.
+inline constexpr int kMaxWorkspacePriority = 1000;
+
 /// Limit on the tokens that the calls of a workspace use, over all instances
 /// together.
 struct TokenQuota {
@@ -33,7 +36,8 @@
   WorkspaceId name;
   /// Secrets; never logged and never sent to upstreams or other instances.
   std::vector<std::string> keys;
-  /// Orders calls before the priority of their routes; 0 is the most urgent.
+  /// Orders calls before the priority of their routes; 0 is the most urgent,
+  /// kMaxWorkspacePriority the least.
   int priority = 0;
   /// nullopt: no limit.
   std::optional<TokenQuota> quota;
--- a/Source/Fakes/fake_dialect.cc
+++ b/Source/Fakes/fake_dialect.cc
@@ -13,6 +13,9 @@
   CallParams params;
   params.id = RequestId(*head.Find("Call-Id"));
   params.host = *head.Find("Host");
+  if (const std::string* text = head.Find("Key")) {
+    params.key = *text;
+  }
   if (const std::string* text = head.Find("Patience")) {
     params.caller_timeout = Millis(std::stoll(*text));
   }
@@ -43,6 +46,10 @@
          header != "Expected";
 }
 
+bool FakeDialect::IsIdentityHeader(const std::string& header) const {
+  return header == "Key" || header == "Workspace";
+}
+
 bool FakeDialect::ForwardsResponseHeader(const std::string& header) const {
   return header != "Leaving" && header != "Pause-Ms" && header != "Limit";
 }
@@ -53,6 +60,10 @@
                "\r\n");
   if (!params.expected_upstream.empty()) {
     head->append("Expected: " + params.expected_upstream.value() + "\r\n");
+    head->append("Urgency: " + std::to_string(params.urgency) + "\r\n");
+  }
+  if (!params.workspace.empty()) {
+    head->append("Workspace: " + params.workspace.value() + "\r\n");
   }
   if (params.resume_after) {
     head->append("Resume-After: " + std::to_string(*params.resume_after) +
--- a/Source/Fakes/fake_dialect.h
+++ b/Source/Fakes/fake_dialect.h
@@ -11,6 +11,7 @@
  public:
   Result<CallParams> ParseCallHead(const net::MessageHead& head) const override;
   bool ForwardsHeader(const std::string& header) const override;
+  bool IsIdentityHeader(const std::string& header) const override;
   bool ForwardsResponseHeader(const std::string& header) const override;
   void AppendHeaders(const SendParams& params,
                      std::string* head) const override;
