Workspaces: only the order of their priorities counts

Cause: where all workspaces share a priority other than 0, no call of theirs had rank 0, so the urgent route lost its larger share of an engine's time per token. Change: DesiredState subtracts the most urgent workspace's priority from all.

--- a/Source/Core/Flow/desired_state.cc
+++ b/Source/Core/Flow/desired_state.cc
@@ -47,7 +47,16 @@
                        return left->prefix.size() > right->prefix.size();
                      });
   }
+  // Only the order of the priorities counts. The most urgent one becomes 0, so
+  // that the calls of a fleet whose workspaces all share a priority keep the
+  // order and the urgency that their routes give them.
+  auto top = std::min_element(workspaces.begin(), workspaces.end(),
+                              [](const auto& left, const auto& right) {
+                                return left.priority < right.priority;
+                              });
+  int top_priority = top == workspaces.end() ? 0 : top->priority;
   for (Workspace& workspace : workspaces) {
+    workspace.priority -= top_priority;
     auto shared = std::make_shared<const Workspace>(std::move(workspace));
     for (const std::string& key : shared->keys) {
       by_key_.emplace(key, shared);
--- a/Source/UnitTests/Core/Edge/caller_identity_test.cc
+++ b/Source/UnitTests/Core/Edge/caller_identity_test.cc
@@ -180,6 +180,13 @@
   CHECK(earlier->workspace.empty());
 }
 
+TEST_CASE("a priority that all workspaces share does not make calls late") {
+  flow::DesiredState state(1, {}, {}, {},
+                           {MakeWorkspace("a", 4), MakeWorkspace("b", 6)});
+  CHECK(state.Authenticate("key-of-a")->priority == 0);
+  CHECK(state.Authenticate("key-of-b")->priority == 2);
+}
+
 TEST_CASE("calls are ordered by the priority of workspace, then of route") {
   auto make = [](int workspace, int route) {
     CallContext context;
