Flow: uneven upstreams: reported slowness, learned service times, full upstreams

Cause: forecasts assumed that all machines of a service are equally fast and that a plain call takes 40 ms. Upstreams that share their machine are 2.5 times slower for periods of 600 ms, differ in speed, and report how long work takes now as the fourth figure of their load header, which was ignored. Each plain call tried an upstream again that had just refused one as full. The forecast of another region held nothing for plain calls, so that a busy region looked idle.

Change: - flow::Slowness follows the fourth figure: as reported for 300 ms, then fading to the mean of its reports within 1 s. It scales prefill, time per token and service time of that upstream. Times are learned at the usual speed. - flow::ServiceTime learns the time of plain calls by service and upstream, from send to response and without queueing. It is forgotten with the process. High values that no call confirms return to the service's. Differences of less than a quarter (5 ms) count as none, as chance would otherwise decide among equals. - flow::FullPause: after a refusal with 503 this instance sends the upstream no plain call until a slot should be free (service time / slots). - An upstream that reports slowness, or refused with its queue length, may have two calls waiting per slot, at most three quarters of the queue that refused; its reported queue shrinks by one call per slot time instead of counting for 400 ms. - A plain call is refused at once (503, Retry-After) if its forecast, by at least eight measured calls, is beyond its deadline. Calls that were already sent or came from another instance are not refused for this, as before. - Heartbeats state for plain services the mean time to a response as the wait of the region, and calls forwarded since add to it. No element is added.

For an upstream that neither sends the fourth figure nor refuses calls, the number of calls that it gets and the life of its reported load are as before. Changed for it: the learned time replaces the 40 ms in its forecast, so that a service slower than 0.7 of the target looks at other regions and a plain call that would end after its deadline is refused; a restart forgets its reported load.

Conclusion: forecasts follow the machines. The speeds of another region's machines are in its wait, not in the prefill of the call itself.

--- a/Source/Core/Edge/attempt.cc
+++ b/Source/Core/Edge/attempt.cc
@@ -48,6 +48,29 @@
   }
 }
 
+void Attempt::OnRefused(EdgeComponents* components,
+                        const ResponseInfo& response,
+                        const flow::CallSize& size) {
+  bool is_full = upstream && head.status == 503 && !size.IsModelCall() &&
+                 !response.is_leaving;
+  if (!is_full) {
+    return;
+  }
+  components->registry->OnFull(
+      *upstream,
+      response.load ? std::optional(response.load->waiting) : std::nullopt,
+      components->loop->Now());
+  components->metrics->CountFullRefusal();
+}
+
+void Attempt::LearnServiceTime(flow::UpstreamRegistry* registry,
+                               const flow::CallSize& size, Instant now) {
+  if (upstream && !size.IsModelCall() && head.status / 100 == 2) {
+    registry->LearnServiceTime(*upstream, now - sent_at, forecast.queue_factor,
+                               now);
+  }
+}
+
 void Attempt::ReleaseLoad() {
   if (!upstream) {
     return;
--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -77,6 +77,15 @@
   /// Called at the first byte of the response, when the upstream has processed
   /// the prompt. Not thread safe.
   void OnPrefillDone();
+  /// Records that the upstream proved not to have run the call. A plain call
+  /// that was refused because the upstream is full pauses further ones. Not
+  /// thread safe.
+  void OnRefused(EdgeComponents* components, const ResponseInfo& response,
+                 const flow::CallSize& size);
+  /// Learns the time of a plain call from the start of its successful response.
+  /// Not thread safe.
+  void LearnServiceTime(flow::UpstreamRegistry* registry,
+                        const flow::CallSize& size, Instant now);
   /// Subtracts the attempt's load from its upstream. Idempotent. Not thread
   /// safe.
   void ReleaseLoad();
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -166,6 +166,9 @@
       (progress.sends > 0 || context.is_from_peer) && !context.is_last_hop) {
     plan.decision.kind = flow::DispatchKind::kLocal;
   }
+  if (!input.is_model_call && plan.decision.IsTooLate()) {
+    components->metrics->CountLateRefusal();
+  }
   if (blocked && plan.decision.kind == flow::DispatchKind::kRemote) {
     plan.decision.kind = flow::DispatchKind::kRefuse;
   }
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -82,6 +82,21 @@
           .Help("Datagrams that were not a valid heartbeat.")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Counter>& plain_refusals =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_plain_refusals_total")
+          .Help("Plain calls refused by a full upstream or as too late.")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& service_time =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_service_time_seconds")
+          .Help("Learned time of a service's plain calls without queueing.")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& slowness =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_slowness")
+          .Help("Highest slowness of a service's upstreams; 1 is usual.")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& bytes_lost =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_bytes_lost_total")
@@ -166,6 +181,21 @@
   impl_->invalid_datagrams.Increment();
 }
 
+void EdgeMetrics::CountFullRefusal() {
+  impl_->plain_refusals.Add({{"reason", "full"}}).Increment();
+}
+
+void EdgeMetrics::CountLateRefusal() {
+  impl_->plain_refusals.Add({{"reason", "late"}}).Increment();
+}
+
+void EdgeMetrics::SetServiceSpeed(std::string_view service, Micros service_time,
+                                  double slowness) {
+  impl_->service_time.Add({{"service", std::string(service)}})
+      .Set(InSeconds(service_time));
+  impl_->slowness.Add({{"service", std::string(service)}}).Set(slowness);
+}
+
 void EdgeMetrics::CountBytesLost(uint64_t unwritten, uint64_t discarded) {
   impl_->bytes_lost.Add({{"kind", "unwritten"}})
       .Increment(static_cast<double>(unwritten));
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -42,6 +42,15 @@
   /// ("none").
   void CountForeignResponse(std::string_view names);
   void CountInvalidDatagram();
+  /// Counts a plain call that an upstream refused because it is full.
+  void CountFullRefusal();
+  /// Counts a plain call that was refused because its response would have come
+  /// after its deadline.
+  void CountLateRefusal();
+  /// Sets the learned time of a service's plain calls, and the highest slowness
+  /// of its upstreams.
+  void SetServiceSpeed(std::string_view service, Micros service_time,
+                       double slowness);
   /// Counts the bytes that ended with a connection: of responses that were not
   /// written, and of requests that were read and discarded.
   void CountBytesLost(uint64_t unwritten, uint64_t discarded);
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -453,11 +453,13 @@
   std::map<ServiceName, uint32_t> observed_upstreams;
   for (const auto& [id, upstream] : registry_.all()) {
     bool is_accepting = registry_.CanSendTo(*upstream, now);
+    double slowness = upstream->slowness.At(now);
     if (is_for_region && ReportsUpstream(*upstream)) {
       bool is_observed =
           now - upstream->time_per_token_at < kTimePerTokenReportAge;
       heartbeat.upstreams[flow::ShortIdOf(id)] = {
-          upstream->own_load, is_observed ? upstream->time_per_token_us : 0,
+          upstream->own_load,
+          is_observed ? upstream->time_per_token_us * slowness : 0,
           is_accepting};
     }
     if (!is_accepting || upstream->IsCold(now) || upstream->IsLimited()) {
@@ -466,8 +468,12 @@
     const ServiceName& service = upstream->record.service;
     flow::ServiceCapacity& capacity = heartbeat.service_capacities[service];
     queued_prefill_tokens[service] +=
+        slowness *
         static_cast<double>(registry_.LoadOf(*upstream, now).prefill_tokens);
-    capacity.time_per_token_us += upstream->time_per_token_us;
+    capacity.time_per_token_us += upstream->time_per_token_us * slowness;
+    if (registry_.PlainSlotTimeOf(service, now) > Micros::zero()) {
+      capacity.wait += registry_.PredictPlain(*upstream, now).finish;
+    }
     observed_upstreams[service] += upstream->time_per_token_us > 0 ? 1 : 0;
     capacity.failure_rate += upstream->failures.At(now);
     ++capacity.upstreams;
@@ -477,7 +483,8 @@
         registry_.ProfileOf(service).prefill_tokens_per_ms;
     capacity.time_per_token_us /= std::max(1U, observed_upstreams[service]);
     capacity.failure_rate /= capacity.upstreams;
-    capacity.wait = Micros(static_cast<int64_t>(
+    capacity.wait /= capacity.upstreams;
+    capacity.wait += Micros(static_cast<int64_t>(
         queued_prefill_tokens[service] / capacity.upstreams /
         capacity.prefill_tokens_per_ms * 1000));
   }
@@ -647,6 +654,10 @@
     AllowsSend(*upstream);
   }
   registry_.Sweep(loop_->Now());
+  for (const auto& [service, speed] : registry_.Speeds(loop_->Now())) {
+    metrics_.SetServiceSpeed(service.value(), speed.service_time,
+                             speed.highest_slowness);
+  }
   metrics_.SetConnectionsOpened(upstream_pool_.opened(), peer_pool_.opened());
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
 }
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -200,7 +200,9 @@
   }
   components_->fleet->OnForwarded(
       region, context_.service,
-      params_.size.parts.empty() ? 0 : params_.size.parts.back().tokens);
+      params_.size.parts.empty() ? 0 : params_.size.parts.back().tokens,
+      components_->registry->PlainSlotTimeOf(context_.service,
+                                             components_->loop->Now()));
   components_->metrics->CountSend("away");
   SendToPeer(live[components_->random->Below(live.size())], HopParams(),
              kForwardingMargin);
@@ -320,14 +322,15 @@
   if (attempt_.upstream) {
     attempt_.upstream->last_received_at = now;
     if (response.load) {
-      attempt_.upstream->reported = response.load;
-      attempt_.upstream->reported->at = now;
+      components_->registry->OnReportedLoad(*attempt_.upstream, *response.load,
+                                            now);
     }
   }
   if (attempt_.not_run_proof) {
     if (response.is_misdirected && attempt_.upstream) {
       attempt_.upstream->is_misdirected = true;
     }
+    attempt_.OnRefused(components_, response, params_.size);
     return true;
   }
   attempt_.is_unverified = !response.is_verified;
@@ -410,8 +413,9 @@
       attempt_.forecast.queued_prefill_tokens == 0) {
     components_->registry->LearnPrefillSpeed(
         context_.service, attempt_.forecast.own_prefill_tokens,
-        now - attempt_.sent_at);
+        now - attempt_.sent_at, attempt_.upstream->slowness.At(now));
   }
+  attempt_.LearnServiceTime(components_->registry, params_.size, now);
   attempt_.OnPrefillDone();
   attempt_.upstream->breaker.OnSuccess();
 }
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -80,6 +80,7 @@
           ? remote.capacity.time_per_token_us / input.max_time_per_token_us
           : 0;
   forecast.failure_rate = remote.capacity.failure_rate;
+  forecast.is_reliable = remote.capacity.wait > Micros::zero();
   return forecast;
 }
 
@@ -108,6 +109,13 @@
          forecast.time_per_token_ratio <= kPreferredTimePerTokenShare;
 }
 
+// Whether a plain call would be answered only after its caller has given up, by
+// measured times. Its work would be wasted and delay others.
+bool IsTooLateForPlainCall(const Forecast& forecast,
+                           const DispatchInput& input) {
+  return forecast.is_reliable && forecast.finish > input.time_to_deadline;
+}
+
 // When capacity is expected: after `excess`, the time by which the forecast
 // exceeds the objective, at the earliest.
 Millis RetryAfter(Micros excess, const DispatchInput& input) {
@@ -169,6 +177,12 @@
         chosen.first_byte - std::max(input.time_to_target, Micros::zero());
     return {DispatchKind::kRefuse, {}, RetryAfter(excess, input), chosen};
   }
+  if (!input.is_model_call && IsTooLateForPlainCall(chosen, input)) {
+    return {DispatchKind::kRefuse,
+            {},
+            RetryAfter(chosen.finish - input.time_to_deadline, input),
+            chosen};
+  }
   if (is_remote) {
     return {DispatchKind::kRemote, best->region, {}, chosen};
   }
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -55,6 +55,12 @@
   Millis retry_after{0};
   /// The forecast behind the decision; zero if there was no candidate.
   Forecast forecast;
+
+  /// Whether the call is refused although there was a candidate, since its
+  /// response would be late. Thread safe.
+  bool IsTooLate() const {
+    return kind == DispatchKind::kRefuse && forecast.finish > Micros::zero();
+  }
 };
 
 /// Chooses between the best local upstream, the best other region and refusal.
--- a/Source/Core/Flow/fleet_view.cc
+++ b/Source/Core/Flow/fleet_view.cc
@@ -126,7 +126,7 @@
   instance.last_heartbeat_at = now;
   instance.unreachable_since.reset();
   instance.service_capacities = heartbeat.service_capacities;
-  forwarded_tokens_.erase(heartbeat.from.region);
+  forwarded_.erase(heartbeat.from.region);
   return true;
 }
 
@@ -280,14 +280,16 @@
   }
   std::vector<RegionCapacity> remote_capacities;
   for (auto& [region, region_capacity] : latest_by_region) {
-    auto forwarded = forwarded_tokens_.find(region);
-    if (forwarded != forwarded_tokens_.end() &&
-        forwarded->second.contains(service) &&
-        region_capacity.capacity.prefill_tokens_per_ms > 0) {
-      double ms = forwarded->second.at(service) /
-                  (region_capacity.capacity.prefill_tokens_per_ms *
-                   region_capacity.capacity.upstreams);
-      region_capacity.capacity.wait += Micros(static_cast<int64_t>(ms * 1000));
+    auto forwarded = forwarded_.find(region);
+    if (forwarded != forwarded_.end() && forwarded->second.contains(service)) {
+      const ForwardedWork& work = forwarded->second.at(service);
+      ServiceCapacity& capacity = region_capacity.capacity;
+      capacity.wait += work.slot_time / capacity.upstreams;
+      if (capacity.prefill_tokens_per_ms > 0) {
+        double ms =
+            work.tokens / (capacity.prefill_tokens_per_ms * capacity.upstreams);
+        capacity.wait += Micros(static_cast<int64_t>(ms * 1000));
+      }
     }
     remote_capacities.push_back(region_capacity);
   }
@@ -295,8 +297,10 @@
 }
 
 void FleetView::OnForwarded(const RegionId& region, const ServiceName& service,
-                            double tokens) {
-  forwarded_tokens_[region][service] += tokens;
+                            double tokens, Micros slot_time) {
+  ForwardedWork& work = forwarded_[region][service];
+  work.tokens += tokens;
+  work.slot_time += slot_time;
 }
 
 void FleetView::Sweep(Instant now) {
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -35,7 +35,8 @@
 struct ServiceCapacity {
   /// Number of upstreams that accept requests.
   uint32_t upstreams = 0;
-  /// Mean time until an upstream starts on a new call.
+  /// Mean time until an upstream starts on a new call; for a service of plain
+  /// calls, until its response.
   Micros wait{0};
   /// Prefill throughput of one upstream, prompt tokens per millisecond.
   double prefill_tokens_per_ms = 0;
@@ -167,9 +168,10 @@
   std::vector<RegionCapacity> RemoteCapacities(const ServiceName& service,
                                                Instant now) const;
   /// Records that a call with this many prompt tokens was forwarded to a
-  /// region.
+  /// region; for a plain call `slot_time` is the time for which it occupies an
+  /// upstream.
   void OnForwarded(const RegionId& region, const ServiceName& service,
-                   double tokens);
+                   double tokens, Micros slot_time = Micros(0));
   /// Removes instances that are neither registered nor sending heartbeats.
   void Sweep(Instant now);
 
@@ -214,8 +216,12 @@
   InstanceRecord self_;
   std::map<InstanceId, KnownInstance> instances_;
   size_t expected_senders_ = 0;
-  // Prompt tokens forwarded to each region since its last heartbeat.
-  std::map<RegionId, std::map<ServiceName, double>> forwarded_tokens_;
+  /// Calls forwarded to a region since its last heartbeat.
+  struct ForwardedWork {
+    double tokens = 0;
+    Micros slot_time{0};
+  };
+  std::map<RegionId, std::map<ServiceName, ForwardedWork>> forwarded_;
 };
 
 }  // namespace basilvalve::flow
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -49,8 +49,6 @@
 // Share of an engine's memory that calls may reserve; above it the engine
 // starts to evict running calls.
 constexpr double kMaxMemoryShare = 0.85;
-// Service time of a plain call, assumed for predicting the queueing delay.
-constexpr double kPlainServiceTimeUs = 40'000;
 
 uint64_t RendezvousScore(uint64_t key, const Upstream& upstream) {
   return Hash64(upstream.record.id.value(), key);
@@ -228,28 +226,30 @@
                          const Upstream& upstream, double prefill_tokens,
                          Instant now) const {
   const ServiceProfile& profile = registry_->ProfileOf(request.service);
-  LoadShare load = registry_->LoadOf(upstream, now);
   Forecast forecast;
   if (!request.size->IsModelCall()) {
-    double slots = std::max(1U, upstream.record.slots);
-    double waiting = std::max(0.0, load.running + 1 - slots);
-    double us = kPlainServiceTimeUs * (1 + waiting / slots);
-    forecast.first_byte = forecast.finish = Micros(static_cast<int64_t>(us));
+    PlainForecast plain = registry_->PredictPlain(upstream, now);
+    forecast.first_byte = forecast.finish = plain.finish;
+    forecast.queue_factor = plain.queue_factor;
+    forecast.is_reliable = plain.is_reliable;
     return forecast;
   }
+  LoadShare load = registry_->LoadOf(upstream, now);
+  double slowness = upstream.slowness.At(now);
   forecast.queued_prefill_tokens = static_cast<double>(load.prefill_tokens);
   forecast.own_prefill_tokens = prefill_tokens;
-  double us_per_token = 1000 / profile.prefill_tokens_per_ms;
+  double us_per_token = slowness * 1000 / profile.prefill_tokens_per_ms;
   forecast.own_prefill_time =
       Micros(static_cast<int64_t>(prefill_tokens * us_per_token));
   double first_byte_us =
       profile.base_latency_us +
       (forecast.queued_prefill_tokens + prefill_tokens) * us_per_token;
   double expected_time_per_token_us =
-      upstream.time_per_token_us > 0 &&
-              now - upstream.time_per_token_at < kTimePerTokenLifetime
-          ? upstream.time_per_token_us
-          : profile.time_per_token_us;
+      slowness *
+      (upstream.time_per_token_us > 0 &&
+               now - upstream.time_per_token_at < kTimePerTokenLifetime
+           ? upstream.time_per_token_us
+           : profile.time_per_token_us);
   forecast.first_byte = Micros(static_cast<int64_t>(first_byte_us));
   forecast.finish = Micros(static_cast<int64_t>(
       first_byte_us + expected_time_per_token_us * request.output_tokens));
@@ -265,11 +265,10 @@
 
 bool Placer::HasCapacity(const PlacementRequest& request,
                          const Upstream& upstream, Instant now) const {
-  LoadShare load = registry_->LoadOf(upstream, now);
   if (!request.size->IsModelCall()) {
-    // The queue may hold half as many calls as the upstream runs concurrently.
-    return load.running < upstream.record.slots + upstream.record.slots / 2 + 1;
+    return registry_->HasPlainCapacity(upstream, now);
   }
+  LoadShare load = registry_->LoadOf(upstream, now);
   uint32_t slots = request.traits != nullptr && request.traits->batch_slots > 0
                        ? request.traits->batch_slots
                        : upstream.record.slots;
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -65,6 +65,11 @@
   double interference = 0;
   /// Recent failure rate there, in [0, 1].
   double failure_rate = 0;
+  /// For a plain call: its time relative to that without queueing.
+  double queue_factor = 1;
+  /// For a plain call: whether its time was measured, so that it may be refused
+  /// because of it.
+  bool is_reliable = false;
 };
 
 /// An upstream chosen for a call.
--- a/Source/Core/Flow/upstream.cc
+++ b/Source/Core/Flow/upstream.cc
@@ -23,6 +23,12 @@
 // A reported queue is processed within this time.
 constexpr Millis kReportedLoadLifetime{400};
 
+// Plain calls that may wait per slot, and the share of the queue length at
+// which the upstream refuses calls that they may use. The rest is for calls
+// that other instances have sent meanwhile.
+constexpr double kMaxWaitingPerSlot = 2;
+constexpr double kMaxQueueShare = 0.75;
+
 // The breaker opens after few failures but only for a short time: other
 // upstreams take the load meanwhile, and a successful probe closes it.
 constexpr admission::BreakerSettings kBreakerSettings{
@@ -121,14 +127,19 @@
       notice(std::make_shared<UpstreamNotice>(record.started_at_ms)),
       breaker(kBreakerSettings) {}
 
-LoadShare Upstream::TotalLoad(Instant now, double mean_prefill_tokens) const {
-  LoadShare total = own_load;
-  total.Add(forwarded_load);
+LoadShare Upstream::KnownLoad(Instant now) const {
+  LoadShare known = own_load;
+  known.Add(forwarded_load);
   for (const auto& [instance, neighbour] : neighbour_loads) {
     if (now - neighbour.at < kNeighbourLoadLifetime) {
-      total.Add(neighbour.share);
+      known.Add(neighbour.share);
     }
   }
+  return known;
+}
+
+LoadShare Upstream::TotalLoad(Instant now, double mean_prefill_tokens) const {
+  LoadShare total = KnownLoad(now);
   if (reported && now - reported->at < kReportedLoadLifetime) {
     total.running =
         std::max(total.running, reported->running + reported->waiting);
@@ -139,6 +150,42 @@
   return total;
 }
 
+double Upstream::PlainCalls(Micros slot_time, Instant now) const {
+  double calls = KnownLoad(now).running;
+  if (!reported || now - reported->at >= kReportedLoadLifetime) {
+    return calls;
+  }
+  double there = reported->running + reported->waiting;
+  if (slowness.is_reported() || full_pause.has_refused()) {
+    there -= static_cast<double>((now - reported->at).count()) /
+             static_cast<double>(std::max(slot_time, Micros(1)).count());
+  }
+  return std::max(calls, there);
+}
+
+double Upstream::MaxPlainCalls() const {
+  double slots = std::max(1U, record.slots);
+  double few_waiting = std::floor(slots / 2) + 1;
+  if (!slowness.is_reported() && !full_pause.full_queue()) {
+    return slots + few_waiting;
+  }
+  double most_waiting = kMaxWaitingPerSlot * slots;
+  if (full_pause.full_queue()) {
+    most_waiting =
+        std::min(most_waiting, kMaxQueueShare * *full_pause.full_queue());
+  }
+  return slots + std::max(few_waiting, most_waiting);
+}
+
+void Upstream::OnRestarted() {
+  cache.Clear();
+  is_misdirected = false;
+  reported.reset();
+  slowness = Slowness();
+  service_time = ServiceTime(kServiceTimeWeight);
+  full_pause = FullPause();
+}
+
 bool Upstream::IsRejectedBy(const InstanceId& instance, Instant now) const {
   auto it = neighbour_loads.find(instance);
   return it != neighbour_loads.end() && !it->second.is_accepting &&
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -13,6 +13,9 @@
 
 #include "Core/Admission/breaker.h"
 #include "Core/Flow/desired_state.h"
+#include "Core/Flow/full_pause.h"
+#include "Core/Flow/service_time.h"
+#include "Core/Flow/slowness.h"
 #include "Core/Flow/upstream_notice.h"
 
 namespace basilvalve::flow {
@@ -84,6 +87,8 @@
 struct ReportedLoad {
   uint32_t running = 0;
   uint32_t waiting = 0;
+  /// How long work takes there now, 1 is usual; nullopt if it did not say.
+  std::optional<double> slowness;
   Instant at;
 };
 
@@ -126,6 +131,9 @@
 
 /// State of one upstream. Not thread safe.
 struct Upstream {
+  /// Weight of one plain call in the service time; it settles after two dozen.
+  static constexpr double kServiceTimeWeight = 0.1;
+
   explicit Upstream(UpstreamRecord registered);
 
   UpstreamRecord record;
@@ -150,6 +158,10 @@
   /// Calls forwarded to the upstream's owner since the owner's last report.
   LoadShare forwarded_load;
   std::optional<ReportedLoad> reported;
+  Slowness slowness;
+  /// Time of a plain call, at the usual speed of the machine.
+  ServiceTime service_time{kServiceTimeWeight};
+  FullPause full_pause;
   admission::Breaker breaker;
   /// Also reflects failures between successes, which do not open the breaker.
   FailureRate failures;
@@ -169,6 +181,18 @@
   /// it is higher; each of its waiting calls counts as `mean_prefill_tokens`
   /// tokens to prefill.
   LoadShare TotalLoad(Instant now, double mean_prefill_tokens) const;
+  /// Load from this instance and the others of the region, without their stale
+  /// reports and without the upstream's own.
+  LoadShare KnownLoad(Instant now) const;
+  /// Number of plain calls that run or wait there. If the upstream reports its
+  /// slowness or refuses calls, its reported queue shrinks by one call each
+  /// `slot_time`; else it counts as reported until it is outdated.
+  double PlainCalls(Micros slot_time, Instant now) const;
+  /// Number of plain calls that may run or wait there. Calls go elsewhere
+  /// before its queue is full, as the number is estimated.
+  double MaxPlainCalls() const;
+  /// Forgets what holds for the process only, as a restart does.
+  void OnRestarted();
   bool IsCold(Instant now) const { return now < cold_until; }
   bool IsLimited() const { return notice->Limit().has_value(); }
   /// Whether the instance's latest report says that the upstream takes no
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -12,6 +12,13 @@
 // first calls are distributed over several engines.
 constexpr double kInitialPrefillTokensPerMs = 40;
 constexpr double kInitialBaseLatencyUs = 15'000;
+// Assumed time of a plain call until calls were measured.
+constexpr double kInitialServiceTimeUs = 40'000;
+// An upstream whose service time differs less than this from that of its
+// service counts as equal. Otherwise chance alone would send all calls to one
+// of several equal upstreams until its slots are used up.
+constexpr double kEqualTimeShare = 0.25;
+constexpr double kEqualTimeUs = 5'000;
 // Weight of one observation in the moving averages; they settle after some
 // dozens of calls.
 constexpr double kSampleWeight = 0.04;
@@ -80,9 +87,7 @@
   }
   Upstream& upstream = *it->second;
   if (upstream.record.started_at_ms != record.started_at_ms) {
-    // The upstream restarted with an empty cache.
-    upstream.cache.Clear();
-    upstream.is_misdirected = false;
+    upstream.OnRestarted();
   }
   if (!upstream.notice->Matches(record.started_at_ms)) {
     upstream.notice = std::make_shared<UpstreamNotice>(record.started_at_ms);
@@ -213,6 +218,103 @@
       now, it == profiles_.end() ? 0 : it->second.mean_prefill_tokens);
 }
 
+void UpstreamRegistry::OnReportedLoad(Upstream& upstream, ReportedLoad load,
+                                      Instant now) {
+  load.at = now;
+  upstream.reported = load;
+  if (load.slowness) {
+    upstream.slowness.OnReport(*load.slowness, now);
+  }
+}
+
+double UpstreamRegistry::PlainServiceTimeUs(const Upstream& upstream,
+                                            Instant now) const {
+  auto it = profiles_.find(upstream.record.service);
+  double usual_us = it == profiles_.end() ? kInitialServiceTimeUs
+                                          : it->second.service_time.At(
+                                                kInitialServiceTimeUs, now);
+  double own_us = upstream.service_time.At(usual_us, now);
+  if (std::abs(own_us - usual_us) <
+      std::max(kEqualTimeShare * usual_us, kEqualTimeUs)) {
+    own_us = usual_us;
+  }
+  return own_us * upstream.slowness.At(now);
+}
+
+Micros UpstreamRegistry::SlotTimeOf(const Upstream& upstream,
+                                    Instant now) const {
+  return Micros(static_cast<int64_t>(PlainServiceTimeUs(upstream, now) /
+                                     std::max(1U, upstream.record.slots)));
+}
+
+void UpstreamRegistry::LearnServiceTime(Upstream& upstream, Micros took,
+                                        double queue_factor, Instant now) {
+  ServiceTime& service_time = ProfileOf(upstream.record.service).service_time;
+  double us = static_cast<double>(took.count()) /
+              (std::max(1.0, queue_factor) * upstream.slowness.At(now));
+  upstream.service_time.Learn(us, service_time.At(kInitialServiceTimeUs, now),
+                              now);
+  service_time.Learn(us, kInitialServiceTimeUs, now);
+}
+
+void UpstreamRegistry::OnFull(Upstream& upstream,
+                              std::optional<uint32_t> waiting, Instant now) {
+  upstream.full_pause.OnRefused(SlotTimeOf(upstream, now), waiting, now);
+}
+
+PlainForecast UpstreamRegistry::PredictPlain(const Upstream& upstream,
+                                             Instant now) const {
+  PlainForecast forecast;
+  double slots = std::max(1U, upstream.record.slots);
+  double calls = upstream.PlainCalls(SlotTimeOf(upstream, now), now);
+  forecast.queue_factor = 1 + std::max(0.0, calls + 1 - slots) / slots;
+  forecast.finish = Micros(static_cast<int64_t>(
+      PlainServiceTimeUs(upstream, now) * forecast.queue_factor));
+  auto it = profiles_.find(upstream.record.service);
+  forecast.is_reliable =
+      it != profiles_.end() && it->second.service_time.is_reliable();
+  return forecast;
+}
+
+bool UpstreamRegistry::HasPlainCapacity(const Upstream& upstream,
+                                        Instant now) const {
+  return upstream.full_pause.HasEnded(now) &&
+         upstream.PlainCalls(SlotTimeOf(upstream, now), now) <
+             upstream.MaxPlainCalls();
+}
+
+Micros UpstreamRegistry::PlainSlotTimeOf(const ServiceName& service,
+                                         Instant now) const {
+  auto it = profiles_.find(service);
+  const std::vector<Ptr>& upstreams = UpstreamsOf(service);
+  if (it == profiles_.end() || it->second.mean_prefill_tokens > 0 ||
+      !it->second.service_time.is_reliable() || upstreams.empty()) {
+    return Micros::zero();
+  }
+  Micros sum{0};
+  for (const Ptr& upstream : upstreams) {
+    sum += SlotTimeOf(*upstream, now);
+  }
+  return sum / static_cast<int64_t>(upstreams.size());
+}
+
+std::map<ServiceName, ServiceSpeed> UpstreamRegistry::Speeds(
+    Instant now) const {
+  std::map<ServiceName, ServiceSpeed> speeds;
+  for (const auto& [id, upstream] : by_id_) {
+    const ServiceName& service = upstream->record.service;
+    ServiceSpeed& speed = speeds[service];
+    speed.highest_slowness =
+        std::max(speed.highest_slowness, upstream->slowness.At(now));
+    auto it = profiles_.find(service);
+    if (it != profiles_.end() && it->second.service_time.is_reliable()) {
+      speed.service_time = Micros(static_cast<int64_t>(
+          it->second.service_time.At(kInitialServiceTimeUs, now)));
+    }
+  }
+  return speeds;
+}
+
 bool UpstreamRegistry::CanSendTo(const Upstream& upstream, Instant now) const {
   return !upstream.is_removed && !upstream.is_misdirected &&
          upstream.notice->Allows(now) && !IsEvacuated(upstream) &&
@@ -288,6 +390,8 @@
 
 void UpstreamRegistry::LearnTimePerToken(Upstream& upstream,
                                          double us_per_token, Instant now) {
+  // At the usual speed; the forecast applies the slowness at its own time.
+  us_per_token /= upstream.slowness.At(now);
   double& own_estimate = upstream.time_per_token_us;
   own_estimate = own_estimate == 0
                      ? us_per_token
@@ -366,14 +470,15 @@
 }
 
 void UpstreamRegistry::LearnPrefillSpeed(const ServiceName& service,
-                                         double tokens, Micros took) {
+                                         double tokens, Micros took,
+                                         double slowness) {
   ServiceProfile& profile = ProfileOf(service);
   double elapsed_us =
       static_cast<double>(took.count()) - profile.base_latency_us;
   if (tokens < kMinTokensToLearnSpeed || elapsed_us <= 0) {
     return;
   }
-  double measured = std::clamp(tokens * 1000 / elapsed_us,
+  double measured = std::clamp(tokens * 1000 / elapsed_us * slowness,
                                kMinPrefillTokensPerMs, kMaxPrefillTokensPerMs);
   profile.prefill_tokens_per_ms +=
       kSampleWeight * (measured - profile.prefill_tokens_per_ms);
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -28,6 +28,9 @@
 
 /// Learned statistics of a service.
 struct ServiceProfile {
+  /// Weight of one plain call in the service time.
+  static constexpr double kServiceTimeWeight = 0.04;
+
   /// Prefill throughput of one engine, prompt tokens per millisecond.
   double prefill_tokens_per_ms = 0;
   /// Time to the first byte of a response that needs no prefill, in
@@ -40,6 +43,8 @@
   double mean_prefill_tokens = 0;
   /// Mean time per generated token, in microseconds.
   double time_per_token_us = 0;
+  /// Time of a plain call at the usual speed of the machines.
+  ServiceTime service_time{kServiceTimeWeight};
   /// Keyed by the rank of the route.
   std::map<int, RankProfile> rank_profiles;
 
@@ -54,6 +59,24 @@
   double MaxTimePerTokenUs() const;
 };
 
+/// Expected course of a plain call at an upstream.
+struct PlainForecast {
+  /// Time until the response, with queueing.
+  Micros finish{0};
+  /// `finish` relative to the time without queueing; 1 or more.
+  double queue_factor = 1;
+  /// Whether it is based on enough measurements to refuse calls.
+  bool is_reliable = false;
+};
+
+/// What was learned of a service's speed, for metrics.
+struct ServiceSpeed {
+  /// Time of a plain call without queueing; zero if none was measured.
+  Micros service_time{0};
+  /// Highest slowness of its upstreams.
+  double highest_slowness = 0;
+};
+
 /// Shared prompt parts that an upstream added to its cache.
 struct PromptCacheUpdate {
   UpstreamShortId upstream;
@@ -122,6 +145,24 @@
   /// Load of an upstream from this instance, the other instances of the region
   /// and the upstream's own report.
   LoadShare LoadOf(const Upstream& upstream, Instant now) const;
+  /// Records the load that an upstream reported with a response.
+  void OnReportedLoad(Upstream& upstream, ReportedLoad load, Instant now);
+  /// Records the time from the send of a plain call to its response.
+  /// `queue_factor`: that of the forecast with which it was sent.
+  void LearnServiceTime(Upstream& upstream, Micros took, double queue_factor,
+                        Instant now);
+  /// Records that the upstream refused a plain call since it is full.
+  void OnFull(Upstream& upstream, std::optional<uint32_t> waiting, Instant now);
+  /// Predicts a plain call that is sent to the upstream now.
+  PlainForecast PredictPlain(const Upstream& upstream, Instant now) const;
+  /// Whether the upstream can take one more plain call.
+  bool HasPlainCapacity(const Upstream& upstream, Instant now) const;
+  /// The time for which a plain call occupies an average upstream of the
+  /// service: service time / slots. Zero unless the service has plain calls
+  /// only and enough of them were measured.
+  Micros PlainSlotTimeOf(const ServiceName& service, Instant now) const;
+  /// The speeds of all services that have upstreams here.
+  std::map<ServiceName, ServiceSpeed> Speeds(Instant now) const;
   /// Records that another instance of the region sent these shared prompt parts
   /// to an upstream.
   void OnNeighbourCacheUpdate(const PromptCacheUpdate& cache_update,
@@ -146,11 +187,15 @@
   /// Records the output length of a completed call.
   void LearnOutput(const ServiceName& service, int rank, double tokens);
   /// Records that the first event arrived after `took`, with `tokens` to
-  /// prefill before it.
-  void LearnPrefillSpeed(const ServiceName& service, double tokens,
-                         Micros took);
+  /// prefill before it, while work took `slowness` times as long as usual.
+  void LearnPrefillSpeed(const ServiceName& service, double tokens, Micros took,
+                         double slowness = 1);
 
  private:
+  /// Expected time of a plain call there without queueing, in microseconds.
+  double PlainServiceTimeUs(const Upstream& upstream, Instant now) const;
+  /// Mean time until the upstream has finished one more plain call.
+  Micros SlotTimeOf(const Upstream& upstream, Instant now) const;
   /// The notice of an upstream that was removed; its registration may return.
   struct RemovedNotice {
     UpstreamRecord record;
--- a/Source/UnitTests/Platform/adapter_test.cc
+++ b/Source/UnitTests/Platform/adapter_test.cc
@@ -250,6 +250,16 @@
     INFO(bad);
     CHECK_FALSE(load(bad));
   }
+  CHECK(load("3,1,8,250")->slowness == 2.5);
+  CHECK(load("3,1,8, 62.5 ,7")->slowness == 0.625);
+  // Without a readable fourth figure the other ones count as before.
+  for (const char* text :
+       {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,-5", "3,1,8,nan", "3,1,8,100x"}) {
+    INFO(text);
+    REQUIRE(load(text));
+    CHECK(load(text)->running == 3);
+    CHECK_FALSE(load(text)->slowness);
+  }
 }
 
 // A node whose StoreWatcher and Registration use a FakeStore.
