Edge: steps that each attempt does alike move out of Exchange

Cause: a hedged call will have two attempts in flight, and Exchange has code for one. RunLedger could only take back the latest attempt.

Change: sending, reading a response head, failing and cancelling an attempt are functions on an Attempt in attempt_steps.cc, moved without a change of behaviour. RunLedger numbers the attempts, so that any of them is taken back once. The test of the ledger also takes back the earlier attempt.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "Core/Edge/edge_components.h"
-#include "Core/Edge/not_run_proof.h"
+#include "Core/Edge/run_ledger.h"
 #include "Core/Flow/placement.h"
 #include "Core/Net/client_connection.h"
 
@@ -16,6 +16,7 @@
 /// `upstream->own_load`. Not thread safe.
 struct Attempt {
   bool is_active = false;
+  AttemptNumber number;
   /// nullptr if the call is forwarded to another region.
   flow::UpstreamRegistry::Ptr upstream;
   /// What was known of the upstream's process when the call was sent.
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "Core/Common/hash.h"
 #include "Core/Common/log.h"
+#include "Core/Edge/attempt_steps.h"
 #include "Core/Edge/call_log.h"
 #include "Core/Edge/message_serializer.h"
 #include "Core/Edge/response_classifier.h"
@@ -163,8 +163,8 @@
   params.urgency = UrgencyOf(*context_.route);
   params.resume_after = ResumeAfter();
   components_->metrics->CountSend("here");
-  BeginAttempt(components_->upstream_pool->Take(attempt_.endpoint,
-                                                !IsRetryable(), Key()),
+  BeginAttempt(components_->upstream_pool->Take(
+                   attempt_.endpoint, !IsRetryable(), KeyOf(params_.id)),
                SerializeRequest(request_, *components_->dialect, params, {}));
 }
 
@@ -245,113 +245,34 @@
   if (peer.region != components_->fleet->self().region) {
     components_->metrics->CountCrossRegionBytes(bytes.size());
   }
-  BeginAttempt(
-      components_->peer_pool->Take(attempt_.endpoint, !IsRetryable(), Key()),
-      std::move(bytes));
+  BeginAttempt(components_->peer_pool->Take(attempt_.endpoint, !IsRetryable(),
+                                            KeyOf(params_.id)),
+               std::move(bytes));
 }
 
 void Exchange::BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                             std::string bytes) {
-  attempt_.is_active = true;
-  attempt_.sent_at = components_->loop->Now();
-  attempt_.last_event_at = attempt_.sent_at;
-  attempt_.listening_since = attempt_.sent_at;
-  attempt_.connection = std::move(connection);
-  attempt_.is_connection_reused = attempt_.connection->is_connected();
   // However the last attempt ended, this one starts at an event boundary.
   splitter_.DropPartial();
   attempt_.events_before = splitter_.events();
   ++progress_.sends;
-  runs_.OnAttempt();
-  attempt_.connection->Send(std::move(bytes), this, Key());
+  attempt_.number = runs_.OnAttempt();
+  SendAttempt(components_, &attempt_, std::move(connection), std::move(bytes),
+              KeyOf(params_.id), this);
   ArmSilenceTimer(SilenceLimit());
 }
 
-net::RequestKey Exchange::Key() const {
-  return net::RequestKey(Hash64(params_.id.value()));
-}
-
-ResponseClaim Exchange::ClaimOf(const net::MessageHead& head,
-                                const ResponseInfo& response) const {
-  ResponseClaim claim{response.named_call, response.not_executed, {}};
-  const std::string* outcome =
-      attempt_.upstream ? nullptr : head.Find(kHopOutcomeHeader);
-  if (outcome != nullptr) {
-    const std::string* call = head.Find(kHopCallHeader);
-    claim.peer_outcome = ParseOutcome(*outcome);
-    claim.named_call = call == nullptr ? NamedCall::kNone
-                       : *call == params_.id.value()
-                           ? NamedOn(*attempt_.connection, NamedCall::kThis)
-                           : NamedCall::kOther;
-  }
-  return claim;
-}
-
 bool Exchange::OnHead(const net::MessageHead& head) {
-  Instant now = components_->loop->Now();
-  ResponseInfo response =
-      components_->dialect->ParseResponseHead(head, params_.id);
-  response.named_call = NamedOn(*attempt_.connection, response.named_call);
-  ResponseClaim claim = ClaimOf(head, response);
-  ResponseOrigin origin = OriginOf(claim);
-  // A late response to another call still tells about its sender.
-  if (claim.named_call != NamedCall::kNone) {
-    RecordNotice(head, response);
-  }
-  if (origin == ResponseOrigin::kForeign) {
-    LogForeignResponse(params_, attempt_.endpoint, head.status, claim);
-    components_->metrics->CountForeignResponse(NamedCallName(claim.named_call));
+  if (!ReadHead(components_, params_, &attempt_, head)) {
     return false;
   }
-  attempt_.head = head;
-  attempt_.not_run_proof = NotRunProof::FromResponse(claim);
-  if (attempt_.not_run_proof) {
-    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at);
-  }
-  if (origin == ResponseOrigin::kPeerFailure) {
-    attempt_.peer_outcome =
-        attempt_.not_run_proof ? Outcome::kNotRun : Outcome::kUnknown;
-    attempt_.is_unsent_by_peer =
-        attempt_.not_run_proof && head.Find(kHopUnsentHeader) != nullptr;
-    attempt_.peer_retry_after = ParseRetryAfter(head);
-    return true;
-  }
-  attempt_.last_event_at = now;
-  if (attempt_.upstream) {
-    attempt_.upstream->last_received_at = now;
-    if (response.load) {
-      attempt_.upstream->reported = response.load;
-      attempt_.upstream->reported->at = now;
-    }
-  }
-  if (attempt_.not_run_proof) {
-    if (response.is_misdirected && attempt_.upstream) {
-      attempt_.upstream->is_misdirected = true;
-    }
-    return true;
-  }
-  attempt_.is_unverified = !response.is_verified;
-  if (!IsStream() && !attempt_.has_first_byte) {
+  if (!attempt_.peer_outcome && !attempt_.not_run_proof && !IsStream() &&
+      !attempt_.has_first_byte) {
     OnFirstByte();
   }
   return true;
 }
 
-void Exchange::RecordNotice(const net::MessageHead& head,
-                            const ResponseInfo& response) {
-  Instant now = components_->loop->Now();
-  if (attempt_.upstream) {
-    attempt_.is_leaving = response.is_leaving;
-    components_->notices->OnResponse(attempt_.upstream->record.id,
-                                     attempt_.notice.get(), response,
-                                     attempt_.sent_at, now);
-    return;
-  }
-  if (const std::string* leaving = head.Find(kHopLeavingHeader)) {
-    components_->notices->OnHopLeaving(*leaving, now);
-  }
-}
-
 std::string Exchange::HopLines() const {
   if (!context_.is_from_peer || !attempt_.is_leaving) {
     return "";
@@ -627,35 +548,9 @@
 
 void Exchange::OnError(net::ClientError client_error) {
   auto self = shared_from_this();
-  std::optional<NotRunProof> unsent =
-      NotRunProof::FromConnection(*attempt_.connection);
-  bool was_sent = !unsent;
-  // An idle connection that the other side has closed, or on which it has sent
-  // bytes, shows nothing about that side.
-  bool is_stale = !was_sent && attempt_.is_connection_reused;
-  if (attempt_.upstream && !was_sent) {
-    components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
-  }
-  attempt_.ReleaseLoad();
-  attempt_.is_active = false;
   silence_timer_.Cancel();
-  attempt_.connection = nullptr;
-  if (is_stale) {
-    LogStaleConnection(params_, attempt_.endpoint);
-    if (attempt_.upstream) {
-      attempt_.upstream->breaker.OnNeutral();
-    }
-    (attempt_.upstream ? components_->upstream_pool : components_->peer_pool)
-        ->CloseIdle(attempt_.endpoint);
-  } else if (attempt_.upstream) {
-    attempt_.RecordResult(/*has_failed=*/true, components_->loop->Now());
-    attempt_.upstream->breaker.OnFailure(components_->loop->Now());
-    components_->upstream_pool->CloseIdle(attempt_.endpoint);
-  } else if (!was_sent) {
-    components_->fleet->OnUnreachable(attempt_.peer, components_->loop->Now());
-    components_->on_peer_unreachable();
-  }
-  bool may_have_crashed = was_sent &&
+  auto [unsent, is_stale] = FailAttempt(components_, params_, &attempt_);
+  bool may_have_crashed = !unsent &&
                           client_error == net::ClientError::kConnectionClosed &&
                           MayHaveCrashed();
   if (is_finished_) {
@@ -667,7 +562,7 @@
     return;
   }
   if (unsent) {
-    runs_.OnNotRun(*unsent);
+    runs_.OnNotRun(attempt_.number, *unsent);
     if (is_stale) {
       Dispatch();
       return;
@@ -759,7 +654,7 @@
 }
 
 void Exchange::OnNotRun(NotRunProof proof, std::string_view reason) {
-  runs_.OnNotRun(proof);
+  runs_.OnNotRun(attempt_.number, proof);
   if (attempt_.upstream) {
     progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   }
@@ -946,19 +841,9 @@
   if (!attempt_.is_active) {
     return;
   }
-  attempt_.is_active = false;
-  attempt_.ReleaseLoad();
-  if (attempt_.upstream && !attempt_.has_first_byte) {
-    attempt_.upstream->breaker.OnNeutral();
-  }
-  if (auto unsent = NotRunProof::FromConnection(*attempt_.connection)) {
-    runs_.OnNotRun(*unsent);
-    if (attempt_.upstream) {
-      components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
-    }
+  if (auto unsent = edge::CancelAttempt(components_, &attempt_)) {
+    runs_.OnNotRun(attempt_.number, *unsent);
   }
-  attempt_.connection->Abort();
-  attempt_.connection = nullptr;
 }
 
 void Exchange::Finish(std::string_view outcome, int status,
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -73,12 +73,6 @@
   void OnPeerFailed();
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
-  /// Tells the call from the others of a connection.
-  net::RequestKey Key() const;
-  ResponseClaim ClaimOf(const net::MessageHead& head,
-                        const ResponseInfo& response) const;
-  /// Records what the response says about its sender's willingness.
-  void RecordNotice(const net::MessageHead& head, const ResponseInfo& response);
   /// Header lines of a response to a peer instance; empty for a caller.
   std::string HopLines() const;
   void OnFirstByte();
--- a/Source/Core/Edge/run_ledger.cc
+++ b/Source/Core/Edge/run_ledger.cc
@@ -1,16 +1,16 @@
 #include "Core/Edge/run_ledger.h"
 
-#include <utility>
-
 namespace basilvalve::edge {
 
-void RunLedger::OnAttempt() {
+AttemptNumber RunLedger::OnAttempt() {
   ++possible_runs_;
-  is_latest_counted_ = true;
+  is_counted_.push_back(true);
+  return AttemptNumber(is_counted_.size() - 1);
 }
 
-void RunLedger::OnNotRun(NotRunProof) {
-  if (std::exchange(is_latest_counted_, false)) {
+void RunLedger::OnNotRun(AttemptNumber number, NotRunProof) {
+  if (is_counted_[number.value()]) {
+    is_counted_[number.value()] = false;
     --possible_runs_;
   }
 }
--- a/Source/UnitTests/Core/Edge/foreign_response_test.cc
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -69,11 +69,13 @@
 TEST_CASE("an attempt is taken back once") {
   ResponseClaim refusal{NamedCall::kThis, true, {}};
   RunLedger ledger;
-  ledger.OnAttempt();
-  ledger.OnAttempt();
-  ledger.OnNotRun(*NotRunProof::FromResponse(refusal));
-  ledger.OnNotRun(*NotRunProof::FromResponse(refusal));
+  AttemptNumber first = ledger.OnAttempt();
+  AttemptNumber second = ledger.OnAttempt();
+  ledger.OnNotRun(second, *NotRunProof::FromResponse(refusal));
+  ledger.OnNotRun(second, *NotRunProof::FromResponse(refusal));
   CHECK(ledger.possible_runs() == 1);
+  ledger.OnNotRun(first, *NotRunProof::FromResponse(refusal));
+  CHECK_FALSE(ledger.MayHaveRun());
 }
 
 TEST_CASE("a refusal that names no call neither ends nor repeats a call") {
