Edge: hedged requests, off by default

A plain idempotent call whose first upstream is slow waits for it until the silence timeout, 0.6 of the target.

Change: after the delay of flow::HedgeDelay the exchange sends the call to a second upstream, if HedgePlanner finds the service not loaded, without a refusal in the last 2 s, another upstream that can respond within the target, and room in the region's budget and the retry budget. HedgeAttempt observes that connection; the first 2xx head wins. The exchange takes the second attempt over when its head wins or the first attempt ends without a success; until then a failure of the second attempt ends only itself.

--- a/Source/Core/Edge/attempt_steps.cc
+++ b/Source/Core/Edge/attempt_steps.cc
@@ -4,6 +4,7 @@
 #include "Core/Edge/call_log.h"
 #include "Core/Edge/hop_header.h"
 #include "Core/Edge/message_serializer.h"
+#include "Core/Edge/response_classifier.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -108,6 +109,16 @@
   return true;
 }
 
+bool IsWinningHead(const Attempt& attempt) {
+  return attempt.head.status / 100 == 2 && !attempt.not_run_proof &&
+         !attempt.peer_outcome && !attempt.is_unverified;
+}
+
+bool IsUpstreamError(const Attempt& attempt) {
+  return ClassifyResponse({.status = attempt.head.status}).verdict ==
+         ResponseVerdict::kUpstreamError;
+}
+
 ConnectionFailure FailAttempt(EdgeComponents* components,
                               const CallParams& params, Attempt* attempt) {
   Instant now = components->loop->Now();
--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -75,6 +75,17 @@
       .With("time_to_deadline_ms", time_left.count());
 }
 
+void LogHedge(const CallParams& params, const ServiceName& service,
+              const net::Endpoint& first, const net::Endpoint& second,
+              Micros after) {
+  LogEvent(LogLevel::kInfo, "edge", "hedged")
+      .With("request", params.id.value())
+      .With("service", service.value())
+      .With("first_endpoint", first.Text())
+      .With("second_endpoint", second.Text())
+      .With("after_ms", InMillis(after));
+}
+
 void LogLostCall(const RequestId& request, const UpstreamId& upstream,
                  const std::vector<flow::PromptPartId>& parts) {
   std::string text;
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -36,6 +36,11 @@
 /// Logs that a call is retried. Thread safe.
 void LogRetry(const CallParams& params, std::string_view reason,
               const net::Endpoint& failed_endpoint, Millis time_left);
+/// Logs that a call is hedged `after` it was sent to its first upstream. Thread
+/// safe.
+void LogHedge(const CallParams& params, const ServiceName& service,
+              const net::Endpoint& first, const net::Endpoint& second,
+              Micros after);
 /// Logs that an upstream crashed under a call, with the call's shared prompt
 /// parts. Thread safe.
 void LogLostCall(const RequestId& request, const UpstreamId& upstream,
--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -16,6 +16,8 @@
 
 namespace basilvalve::edge {
 
+class HedgePlanner;
+
 /// Non-owning pointers. The node owns the components, which outlive every call.
 /// Not thread safe.
 struct EdgeComponents {
@@ -31,6 +33,7 @@
   ConnectionPool* peer_pool = nullptr;
   NoticeRecorder* notices = nullptr;
   PoisonGuard* poison_guard = nullptr;
+  HedgePlanner* hedges = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
   /// Called after a peer instance was excluded.
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -65,6 +65,16 @@
           .Name("basilvalve_edge_upstream_notices_total")
           .Help("Upstreams that began to leave or pause, by source.")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& hedges =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_hedges_total")
+          .Help("Second attempts of calls without a response, sent and won.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& hedges_refused =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_hedges_refused_total")
+          .Help("Calls that were not hedged after their delay, by reason.")
+          .Register(registry);
   prometheus::Counter& withdrawn =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_withdrawn_total")
@@ -135,6 +145,14 @@
   impl_->retries.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void EdgeMetrics::CountHedge(std::string_view event) {
+  impl_->hedges.Add({{"event", std::string(event)}}).Increment();
+}
+
+void EdgeMetrics::CountHedgeRefused(std::string_view reason) {
+  impl_->hedges_refused.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void EdgeMetrics::CountUpstreamCrash() { impl_->upstream_crashes.Increment(); }
 
 void EdgeMetrics::CountBlockedCall() { impl_->blocked_calls.Increment(); }
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -26,6 +26,10 @@
   /// ("away").
   void CountSend(std::string_view where);
   void CountRetry(std::string_view reason);
+  /// Counts a hedge by `event`: "sent", or "won" if its response was the first.
+  void CountHedge(std::string_view event);
+  /// Counts a call that was not hedged when its delay had passed.
+  void CountHedgeRefused(std::string_view reason);
   /// Counts an upstream that crashed under calls of this instance.
   void CountUpstreamCrash();
   /// Counts a call that was refused because of a blocked prompt part.
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -68,6 +68,7 @@
                [this](const UpstreamId& id) { WithdrawUnsent(id); }),
       poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_,
                     [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
+      hedges_(&components_, settings_.hedge_share),
       connections_(
           loop, &metrics_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
@@ -92,6 +93,7 @@
   components_.peer_pool = &peer_pool_;
   components_.notices = &notices_;
   components_.poison_guard = &poison_guard_;
+  components_.hedges = &hedges_;
   components_.metrics = &metrics_;
   components_.random = &random_;
   components_.region_round_trip = settings_.region_round_trip;
@@ -404,6 +406,12 @@
   }
   notices_.OnReports(heartbeat.leaving, now);
   notices_.OnReports(heartbeat.limits, now);
+  // Where only dispatchers send heartbeats, each instance keeps to its own
+  // share, because the others would not learn of its hedges.
+  if (!dispatchers_.is_exclusive()) {
+    hedges_.budget().OnReport(heartbeat.from.id, heartbeat.from.incarnation,
+                              heartbeat.hedges, now);
+  }
   for (const flow::PromptCacheUpdate& update : heartbeat.cache_updates) {
     registry_.OnNeighbourCacheUpdate(update, MemoryTokensOf(update.upstream));
   }
@@ -442,6 +450,7 @@
     }
     heartbeat.leaving = notices_.Reports(now);
     heartbeat.limits = notices_.LimitReports(now);
+    heartbeat.hedges = hedges_.budget().MakeReport(now);
     heartbeat.relayed = std::exchange(relayed_heartbeats_, {});
     if (dispatchers_.has_catalog_readers() && dispatchers_.IsCatalogReader()) {
       heartbeat.catalog_position = catalog_position_;
@@ -642,6 +651,7 @@
   peer_pool_.Sweep();
   fleet_.Sweep(loop_->Now());
   send_limiter_.Sweep(loop_->Now());
+  hedges_.budget().Sweep(loop_->Now());
   for (const auto& [id, upstream] : registry_.all()) {
     // Also without calls, the limiter learns of owners and limits that change.
     AllowsSend(*upstream);
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -10,6 +10,7 @@
 #include "Core/Edge/accepted_connections.h"
 #include "Core/Edge/catalog_codec.h"
 #include "Core/Edge/exchange.h"
+#include "Core/Edge/hedge_planner.h"
 
 namespace basilvalve::edge {
 
@@ -22,6 +23,9 @@
   /// port.
   net::Endpoint peer_address;
   flow::FleetRetryBudgetSettings retries;
+  /// Hedges per call that may be hedged, over all instances of the region; 0
+  /// turns hedging off.
+  double hedge_share = 0;
   PoolSettings upstream_connections;
   PoolSettings peer_connections;
   /// Network round-trip time to another region.
@@ -165,6 +169,7 @@
   NoticeRecorder notices_;
   PoisonGuard poison_guard_;
   EdgeComponents components_;
+  HedgePlanner hedges_;
   std::unique_ptr<net::Listener> public_listener_;
   std::unique_ptr<net::Listener> peer_listener_;
   std::unique_ptr<net::DatagramSocket> datagrams_;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -5,6 +5,7 @@
 #include "Core/Common/log.h"
 #include "Core/Edge/attempt_steps.h"
 #include "Core/Edge/call_log.h"
+#include "Core/Edge/hedge_planner.h"
 #include "Core/Edge/message_serializer.h"
 #include "Core/Edge/response_classifier.h"
 
@@ -32,6 +33,7 @@
 constexpr size_t kMaxTriedDispatchers = 2;
 // Events after which an upstream has got past the start of its response.
 constexpr uint64_t kStartEvents = 2;
+constexpr AttemptNumber kFirstAttempt(0);
 
 // Response bodies are buffered up to this size if the response states its
 // length, else up to the second one, since such a body may never end.
@@ -59,7 +61,10 @@
       response_deadline_(request_.arrived +
                          std::min(context_.time_left, context_.route->timeout)),
       caller_deadline_(request_.arrived + context_.time_left),
-      target_deadline_(request_.arrived + context_.target_left) {}
+      target_deadline_(request_.arrived + context_.target_left),
+      hedge_timer_(components->loop),
+      hedge_({components, &context_, &params_, &progress_, &runs_,
+              [this] { OnHedgeWon(); }}) {}
 
 void Exchange::Start() {
   caller_->SetDisconnectHandler([weak = weak_from_this()] {
@@ -130,6 +135,7 @@
       break;
   }
   LogCallRejected(params_, context_, progress_, decision);
+  components_->hedges->OnRefusal(context_.service);
   if (runs_.MayHaveRun()) {
     SendFailure(502, {}, "no_upstream_left");
     return;
@@ -153,6 +159,14 @@
 void Exchange::SendToUpstream(const flow::Placement& placement) {
   attempt_ = Attempt::ToUpstream(components_, placement, context_.service,
                                  params_.size, context_.traits);
+  components_->metrics->CountSend("here");
+  PrepareHedge();
+  BeginAttempt(components_->upstream_pool->Take(
+                   attempt_.endpoint, !IsRetryable(), KeyOf(params_.id)),
+               RequestFor(placement));
+}
+
+std::string Exchange::RequestFor(const flow::Placement& placement) {
   SendParams params;
   if (placement.prompt_source) {
     params.prompt_source = net::Endpoint{placement.prompt_source->record.host,
@@ -162,10 +176,67 @@
   params.time_left = TimeLeft();
   params.urgency = UrgencyOf(*context_.route);
   params.resume_after = ResumeAfter();
+  return SerializeRequest(request_, *components_->dialect, params, {});
+}
+
+void Exchange::PrepareHedge() {
+  if (progress_.sends > 0 ||
+      !components_->hedges->IsEligible(context_, params_)) {
+    return;
+  }
+  components_->hedges->OnFirstSend(context_.service);
+  Micros delay = components_->hedges->DelayOf(context_);
+  Instant due = components_->loop->Now() + delay;
+  hedge_timer_.Set(delay, [weak = weak_from_this(), due] {
+    if (auto self = weak.lock()) {
+      self->OnHedgeDue(due);
+    }
+  });
+}
+
+void Exchange::OnHedgeDue(Instant due) {
+  Instant now = components_->loop->Now();
+  bool is_waiting = !is_finished_ && attempt_.is_active && attempt_.upstream &&
+                    attempt_.head.status == 0;
+  bool is_own_stall = now - due > kLateTimer;
+  if (!is_waiting || is_own_stall || IsUnwanted()) {
+    return;
+  }
+  progress_.time_to_deadline = TimeLeft();
+  progress_.time_to_target = target_deadline_ - now;
+  auto placement = components_->hedges->Choose(
+      context_, params_, progress_, attempt_.upstream->record.id, MayRetry());
+  if (!placement) {
+    return;
+  }
+  Attempt hedge = Attempt::ToUpstream(components_, *placement, context_.service,
+                                      params_.size, context_.traits);
+  LogHedge(params_, context_.service, attempt_.endpoint, hedge.endpoint,
+           now - attempt_.sent_at);
   components_->metrics->CountSend("here");
-  BeginAttempt(components_->upstream_pool->Take(
-                   attempt_.endpoint, !IsRetryable(), KeyOf(params_.id)),
-               SerializeRequest(request_, *components_->dialect, params, {}));
+  components_->metrics->CountHedge("sent");
+  hedge_.Send(std::move(hedge), RequestFor(*placement));
+}
+
+void Exchange::OnHedgeWon() {
+  components_->metrics->CountHedge("won");
+  if (attempt_.number == kFirstAttempt && !attempt_.has_first_byte) {
+    components_->hedges->OnFirstByte(
+        context_.service, components_->loop->Now() - attempt_.sent_at);
+  }
+  CancelAttempt();
+  AdoptHedge();
+  OnFirstByte();
+}
+
+bool Exchange::AdoptHedge() {
+  if (!hedge_.is_active()) {
+    return false;
+  }
+  progress_.tried_upstreams.insert(attempt_.upstream->record.id);
+  attempt_ = hedge_.HandOver(this);
+  ArmSilenceTimer(SilenceLimit());
+  return true;
 }
 
 bool Exchange::IsForwardedTo(const flow::Placement& placement) const {
@@ -270,6 +341,9 @@
       !attempt_.has_first_byte) {
     OnFirstByte();
   }
+  if (IsWinningHead(attempt_)) {
+    hedge_.Cancel();
+  }
   return true;
 }
 
@@ -284,8 +358,9 @@
 }
 
 bool Exchange::IsUnsentTo(const flow::Upstream& upstream) const {
-  return attempt_.is_active && attempt_.upstream.get() == &upstream &&
-         !attempt_.connection->has_sent();
+  return (attempt_.is_active && attempt_.upstream.get() == &upstream &&
+          !attempt_.connection->has_sent()) ||
+         hedge_.IsUnsentTo(upstream);
 }
 
 void Exchange::WithdrawUnsent(const flow::Upstream& upstream) {
@@ -294,9 +369,15 @@
   }
   auto self = shared_from_this();
   components_->metrics->CountWithdrawn();
-  CancelAttempt();
   --progress_.sends;
-  Dispatch();
+  if (hedge_.IsUnsentTo(upstream)) {
+    hedge_.Cancel();
+    return;
+  }
+  CancelAttempt();
+  if (!AdoptHedge()) {
+    Dispatch();
+  }
 }
 
 bool Exchange::IsWaitingWith(flow::PromptPartId part) const {
@@ -324,6 +405,10 @@
   if (!attempt_.upstream) {
     return;
   }
+  if (attempt_.number == kFirstAttempt &&
+      components_->hedges->IsEligible(context_, params_)) {
+    components_->hedges->OnFirstByte(context_.service, now - attempt_.sent_at);
+  }
   // Learn the prefill speed only if no other prompts were queued ahead:
   // otherwise it is unknown how much of them was processed before this call
   // arrived.
@@ -501,7 +586,9 @@
       CompleteStream();
       return;
     case ResponseVerdict::kForward:
-      ForwardResponse();
+      if (!AdoptHedge()) {
+        ForwardResponse();
+      }
       return;
   }
 }
@@ -510,7 +597,7 @@
   if (attempt_.upstream && !attempt_.has_first_byte) {
     attempt_.upstream->breaker.OnFailure(components_->loop->Now());
   }
-  if (IsRetryable() && TryRetry("upstream_error")) {
+  if (AdoptHedge() || (IsRetryable() && TryRetry("upstream_error"))) {
     return;
   }
   // The upstream did not say that it has not executed the call.
@@ -563,6 +650,9 @@
   }
   if (unsent) {
     runs_.OnNotRun(attempt_.number, *unsent);
+    if (AdoptHedge()) {
+      return;
+    }
     if (is_stale) {
       Dispatch();
       return;
@@ -656,8 +746,12 @@
 void Exchange::OnNotRun(NotRunProof proof, std::string_view reason) {
   runs_.OnNotRun(attempt_.number, proof);
   if (attempt_.upstream) {
+    components_->hedges->OnRefusal(context_.service);
     progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   }
+  if (AdoptHedge()) {
+    return;
+  }
   bool is_unsent = attempt_.is_unsent_by_peer &&
                    progress_.tried_dispatchers.size() < kMaxTriedDispatchers;
   if (is_unsent) {
@@ -675,7 +769,7 @@
 }
 
 void Exchange::OnMayHaveRun(std::string_view reason) {
-  if (IsRetryable() && TryRetry(reason)) {
+  if (AdoptHedge() || (IsRetryable() && TryRetry(reason))) {
     return;
   }
   SendFailure(502, {}, reason);
@@ -729,6 +823,7 @@
 
 void Exchange::GiveUp(std::string_view reason) {
   CancelAttempt();
+  hedge_.Cancel();
   bool may_have_run = runs_.MayHaveRun();
   SendFailure(may_have_run ? 504 : 503,
               may_have_run ? Millis(0) : kNotRunRetryAfter, reason);
@@ -791,6 +886,9 @@
     attempt_.RecordResult(/*has_failed=*/true, now);
   }
   progress_.tried_upstreams.insert(attempt_.upstream->record.id);
+  if (hedge_.is_active()) {
+    return;
+  }
   if (context_.can_sender_retry) {
     if (!MaySenderResume()) {
       return;
@@ -851,6 +949,8 @@
   is_finished_ = true;
   deadline_timer_.Cancel();
   silence_timer_.Cancel();
+  hedge_timer_.Cancel();
+  hedge_.Cancel();
   Instant now = components_->loop->Now();
   components_->metrics->CountCall(outcome, status);
   components_->metrics->ObserveTotal(now - request_.arrived);
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -8,6 +8,7 @@
 #include "Core/Edge/attempt.h"
 #include "Core/Edge/call_planner.h"
 #include "Core/Edge/edge_components.h"
+#include "Core/Edge/hedge_attempt.h"
 #include "Core/Edge/hop_header.h"
 #include "Core/Edge/run_ledger.h"
 #include "Core/Flow/event_splitter.h"
@@ -33,8 +34,8 @@
   /// Ends the call because the process is about to exit: its caller gets a
   /// failure if no response has started. Not thread safe.
   void EndForShutdown();
-  /// Whether the current attempt is on this upstream and nothing of it was sent
-  /// yet. Not thread safe.
+  /// Whether the current attempt or its hedge is on this upstream and nothing
+  /// of it was sent yet. Not thread safe.
   bool IsUnsentTo(const flow::Upstream& upstream) const;
   /// Places the call anew if it is still unsent to the upstream, which is not
   /// to get any more calls. Not thread safe.
@@ -62,6 +63,8 @@
   /// Sends the call where the plan says, or refuses it.
   void Execute(const CallPlan& plan);
   void SendToUpstream(const flow::Placement& placement);
+  /// The request for the chosen upstream.
+  std::string RequestFor(const flow::Placement& placement);
   void SendToOwner(const flow::InstanceRecord& owner,
                    const flow::Placement& placement);
   void SendToRegion(const RegionId& region);
@@ -73,6 +76,16 @@
   void OnPeerFailed();
   void BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                     std::string bytes);
+  /// Counts a call that may be hedged, and starts its timer.
+  void PrepareHedge();
+  /// Sends a call that still waits for its first byte to a second upstream, if
+  /// the hedge planner permits it.
+  void OnHedgeDue(Instant due);
+  /// The hedge has the first response head to forward.
+  void OnHedgeWon();
+  /// Goes on with the hedge, if one is in flight, after the current attempt has
+  /// ended.
+  bool AdoptHedge();
   /// Header lines of a response to a peer instance; empty for a caller.
   std::string HopLines() const;
   void OnFirstByte();
@@ -157,6 +170,8 @@
   Instant caller_deadline_;
   Instant target_deadline_;
   RunLedger runs_;
+  net::Timer hedge_timer_;
+  HedgeAttempt hedge_;
   int failed_connects_ = 0;
   /// When the silence timer is due.
   Instant silence_due_;
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -17,9 +17,12 @@
 constexpr size_t kLeavingIndex = 18;
 constexpr size_t kLimitIndex = 19;
 constexpr size_t kEraIndex = 20;
+// Element 21 is null in heartbeats that have this one but not that.
+constexpr size_t kHedgesIndex = 22;
 
 // Bounds what a datagram can add to the state of its receiver.
 constexpr size_t kMaxPoisonRows = 64;
+constexpr size_t kMaxHedgeRows = 64;
 
 json EncodePoison(const flow::PoisonReport& report) {
   json crashed_calls = json::array();
@@ -131,6 +134,27 @@
   return report;
 }
 
+json EncodeHedges(const flow::HedgeReport& report) {
+  json rows = json::array();
+  for (const auto& [service, counters] : report) {
+    if (rows.size() < kMaxHedgeRows) {
+      rows.push_back({service.value(), counters.requests, counters.hedges});
+    }
+  }
+  return rows;
+}
+
+flow::HedgeReport ReadHedges(const json& rows) {
+  flow::HedgeReport report;
+  for (const json& row : rows) {
+    if (report.size() < kMaxHedgeRows) {
+      report[flow::ServiceShortId(row.at(0).get<uint64_t>())] = {
+          row.at(1).get<uint64_t>(), row.at(2).get<uint64_t>()};
+    }
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeHeartbeat(const flow::Heartbeat& heartbeat) {
@@ -194,7 +218,8 @@
               heartbeat.catalog_position.revision,
               heartbeat.catalog_age.count()};
   uint64_t era = heartbeat.catalog_position.era.value();
-  bool has_era = era > 0;
+  bool has_hedges = !heartbeat.hedges.empty();
+  bool has_era = era > 0 || has_hedges;
   bool has_limits = !limits.empty() || has_era;
   bool has_leaving = !leaving.empty() || has_limits;
   if (!heartbeat.poison.empty() || has_leaving) {
@@ -210,6 +235,10 @@
   if (has_era) {
     row.push_back(era);
   }
+  if (has_hedges) {
+    row.push_back(nullptr);
+    row.push_back(EncodeHedges(heartbeat.hedges));
+  }
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -270,6 +299,9 @@
       heartbeat.catalog_position.era =
           flow::CatalogEra(row.at(kEraIndex).get<uint64_t>());
     }
+    if (row.size() > kHedgesIndex) {
+      heartbeat.hedges = ReadHedges(row.at(kHedgesIndex));
+    }
     return heartbeat;
   } catch (const json::exception&) {
     // Not a valid heartbeat; the caller counts and logs it.
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Core/Flow/catalog_position.h"
+#include "Core/Flow/hedge_budget.h"
 #include "Core/Flow/placement.h"
 #include "Core/Flow/poison_tracker.h"
 
@@ -109,6 +110,8 @@
   std::vector<LeavingReport> leaving;
   /// Upstreams that stated a limit; sent only within the region.
   std::vector<LimitReport> limits;
+  /// Calls and hedges of the sender; sent only within the region.
+  HedgeReport hedges;
   /// Prompt parts that crash upstreams.
   PoisonReport poison;
 };
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -69,6 +69,9 @@
   /// `key`: set for a request that may be sent more than once. Not thread safe.
   void Send(std::string bytes, ClientObserver* observer,
             std::optional<RequestKey> key = std::nullopt);
+  /// Lets `observer` receive the rest of the response to the current request;
+  /// also permitted in OnHead. Pre: !is_idle(). Not thread safe.
+  void SetObserver(ClientObserver* observer) { observer_ = observer; }
   /// Whether a request with the key was sent on this connection. Not thread
   /// safe.
   bool HasCarried(RequestKey key) const;
--- a/Source/UnitTests/Core/Edge/edge_fixture.cc
+++ b/Source/UnitTests/Core/Edge/edge_fixture.cc
@@ -119,7 +119,8 @@
 }
 
 EdgeFixture::EdgeFixture(const std::string& region, net::TimeSource time,
-                         const flow::FleetRetryBudgetSettings& retries)
+                         const flow::FleetRetryBudgetSettings& retries,
+                         double hedge_share)
     : loop(time) {
   EdgeSettings settings;
   settings.self.id = InstanceId("instance");
@@ -128,6 +129,7 @@
   settings.public_address = {"127.0.0.1", 0};
   settings.peer_address = {"127.0.0.1", 0};
   settings.retries = retries;
+  settings.hedge_share = hedge_share;
   settings.stop_grace = Millis(4000);
   settings.seed = 1;
   auto created = EdgeNode::Create(&loop, settings, &dialect);
--- a/Source/UnitTests/Core/Edge/edge_fixture.h
+++ b/Source/UnitTests/Core/Edge/edge_fixture.h
@@ -70,10 +70,11 @@
 /// not resumable.
 class EdgeFixture {
  public:
-  explicit EdgeFixture(const std::string& region = "north",
-                       net::TimeSource time = net::TimeSource::kSystem,
-                       const flow::FleetRetryBudgetSettings& retries = {
-                           0.2, 50, Seconds(10)});
+  explicit EdgeFixture(
+      const std::string& region = "north",
+      net::TimeSource time = net::TimeSource::kSystem,
+      const flow::FleetRetryBudgetSettings& retries = {0.2, 50, Seconds(10)},
+      double hedge_share = 0);
 
   ScriptedUpstream& AddUpstream(const std::string& id,
                                 ScriptedUpstream::Script script);
