--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 
-#include "Core/Common/hash.h"
 #include "Core/Common/log.h"
+#include "Core/Edge/attempt_steps.h"
 #include "Core/Edge/call_log.h"
+#include "Core/Edge/hedge_planner.h"
 #include "Core/Edge/message_serializer.h"
 #include "Core/Edge/response_classifier.h"
 
@@ -32,6 +33,7 @@
 constexpr size_t kMaxTriedDispatchers = 2;
 // Events after which an upstream has got past the start of its response.
 constexpr uint64_t kStartEvents = 2;
+constexpr AttemptNumber kFirstAttempt(0);
 
 // Response bodies are buffered up to this size if the response states its
 // length, else up to the second one, since such a body may never end.
@@ -59,7 +61,10 @@
       response_deadline_(request_.arrived +
                          std::min(context_.time_left, context_.route->timeout)),
       caller_deadline_(request_.arrived + context_.time_left),
-      target_deadline_(request_.arrived + context_.target_left) {}
+      target_deadline_(request_.arrived + context_.target_left),
+      hedge_timer_(components->loop),
+      hedge_({components, &context_, &params_, &progress_, &runs_,
+              [this] { OnHedgeWon(); }}) {}
 
 void Exchange::Start() {
   caller_->SetDisconnectHandler([weak = weak_from_this()] {
@@ -130,6 +135,7 @@
       break;
   }
   LogCallRejected(params_, context_, progress_, decision);
+  components_->hedges->OnRefusal(context_.service);
   if (runs_.MayHaveRun()) {
     SendFailure(502, {}, "no_upstream_left");
     return;
@@ -153,6 +159,14 @@
 void Exchange::SendToUpstream(const flow::Placement& placement) {
   attempt_ = Attempt::ToUpstream(components_, placement, context_.service,
                                  params_.size, context_.traits);
+  components_->metrics->CountSend("here");
+  PrepareHedge();
+  BeginAttempt(components_->upstream_pool->Take(
+                   attempt_.endpoint, !IsRetryable(), KeyOf(params_.id)),
+               RequestFor(placement));
+}
+
+std::string Exchange::RequestFor(const flow::Placement& placement) {
   SendParams params;
   if (placement.prompt_source) {
     params.prompt_source = net::Endpoint{placement.prompt_source->record.host,
@@ -166,10 +180,67 @@
     params.workspace = context_.workspace->name;
   }
   params.resume_after = ResumeAfter();
+  return SerializeRequest(request_, *components_->dialect, params, {});
+}
+
+void Exchange::PrepareHedge() {
+  if (progress_.sends > 0 ||
+      !components_->hedges->IsEligible(context_, params_)) {
+    return;
+  }
+  components_->hedges->OnFirstSend(context_.service);
+  Micros delay = components_->hedges->DelayOf(context_);
+  Instant due = components_->loop->Now() + delay;
+  hedge_timer_.Set(delay, [weak = weak_from_this(), due] {
+    if (auto self = weak.lock()) {
+      self->OnHedgeDue(due);
+    }
+  });
+}
+
+void Exchange::OnHedgeDue(Instant due) {
+  Instant now = components_->loop->Now();
+  bool is_waiting = !is_finished_ && attempt_.is_active && attempt_.upstream &&
+                    attempt_.head.status == 0;
+  bool is_own_stall = now - due > kLateTimer;
+  if (!is_waiting || is_own_stall || IsUnwanted()) {
+    return;
+  }
+  progress_.time_to_deadline = TimeLeft();
+  progress_.time_to_target = target_deadline_ - now;
+  auto placement = components_->hedges->Choose(
+      context_, params_, progress_, attempt_.upstream->record.id, MayRetry());
+  if (!placement) {
+    return;
+  }
+  Attempt hedge = Attempt::ToUpstream(components_, *placement, context_.service,
+                                      params_.size, context_.traits);
+  LogHedge(params_, context_.service, attempt_.endpoint, hedge.endpoint,
+           now - attempt_.sent_at);
   components_->metrics->CountSend("here");
-  BeginAttempt(components_->upstream_pool->Take(attempt_.endpoint,
-                                                !IsRetryable(), Key()),
-               SerializeRequest(request_, *components_->dialect, params, {}));
+  components_->metrics->CountHedge("sent");
+  hedge_.Send(std::move(hedge), RequestFor(*placement));
+}
+
+void Exchange::OnHedgeWon() {
+  components_->metrics->CountHedge("won");
+  if (attempt_.number == kFirstAttempt && !attempt_.has_first_byte) {
+    components_->hedges->OnFirstByte(
+        context_.service, components_->loop->Now() - attempt_.sent_at);
+  }
+  CancelAttempt();
+  AdoptHedge();
+  OnFirstByte();
+}
+
+bool Exchange::AdoptHedge() {
+  if (!hedge_.is_active()) {
+    return false;
+  }
+  progress_.tried_upstreams.insert(attempt_.upstream->record.id);
+  attempt_ = hedge_.HandOver(this);
+  ArmSilenceTimer(SilenceLimit());
+  return true;
 }
 
 bool Exchange::IsForwardedTo(const flow::Placement& placement) const {
@@ -256,112 +327,35 @@
   if (peer.region != components_->fleet->self().region) {
     components_->metrics->CountCrossRegionBytes(bytes.size());
   }
-  BeginAttempt(
-      components_->peer_pool->Take(attempt_.endpoint, !IsRetryable(), Key()),
-      std::move(bytes));
+  BeginAttempt(components_->peer_pool->Take(attempt_.endpoint, !IsRetryable(),
+                                            KeyOf(params_.id)),
+               std::move(bytes));
 }
 
 void Exchange::BeginAttempt(std::shared_ptr<net::ClientConnection> connection,
                             std::string bytes) {
-  attempt_.is_active = true;
-  attempt_.sent_at = components_->loop->Now();
-  attempt_.last_event_at = attempt_.sent_at;
-  attempt_.listening_since = attempt_.sent_at;
-  attempt_.connection = std::move(connection);
-  attempt_.is_connection_reused = attempt_.connection->is_connected();
   // However the last attempt ended, this one starts at an event boundary.
   splitter_.DropPartial();
   attempt_.events_before = splitter_.events();
   ++progress_.sends;
-  runs_.OnAttempt();
-  attempt_.connection->Send(std::move(bytes), this, Key());
+  attempt_.number = runs_.OnAttempt();
+  SendAttempt(components_, &attempt_, std::move(connection), std::move(bytes),
+              KeyOf(params_.id), this);
   ArmSilenceTimer(SilenceLimit());
 }
 
-net::RequestKey Exchange::Key() const {
-  return net::RequestKey(Hash64(params_.id.value()));
-}
-
-ResponseClaim Exchange::ClaimOf(const net::MessageHead& head,
-                                const ResponseInfo& response) const {
-  ResponseClaim claim{response.named_call, response.not_executed, {}};
-  const std::string* outcome =
-      attempt_.upstream ? nullptr : head.Find(kHopOutcomeHeader);
-  if (outcome != nullptr) {
-    const std::string* call = head.Find(kHopCallHeader);
-    claim.peer_outcome = ParseOutcome(*outcome);
-    claim.named_call = call == nullptr ? NamedCall::kNone
-                       : *call == params_.id.value()
-                           ? NamedOn(*attempt_.connection, NamedCall::kThis)
-                           : NamedCall::kOther;
-  }
-  return claim;
-}
-
 bool Exchange::OnHead(const net::MessageHead& head) {
-  Instant now = components_->loop->Now();
-  ResponseInfo response =
-      components_->dialect->ParseResponseHead(head, params_.id);
-  response.named_call = NamedOn(*attempt_.connection, response.named_call);
-  ResponseClaim claim = ClaimOf(head, response);
-  ResponseOrigin origin = OriginOf(claim);
-  // A late response to another call still tells about its sender.
-  if (claim.named_call != NamedCall::kNone) {
-    RecordNotice(head, response);
-  }
-  if (origin == ResponseOrigin::kForeign) {
-    LogForeignResponse(params_, attempt_.endpoint, head.status, claim);
-    components_->metrics->CountForeignResponse(NamedCallName(claim.named_call));
+  if (!ReadHead(components_, params_, &attempt_, head)) {
     return false;
   }
-  attempt_.head = head;
-  attempt_.not_run_proof = NotRunProof::FromResponse(claim);
-  if (attempt_.not_run_proof) {
-    LogRefusal(params_, attempt_.endpoint, head.status, now - attempt_.sent_at);
-  }
-  if (origin == ResponseOrigin::kPeerFailure) {
-    attempt_.peer_outcome =
-        attempt_.not_run_proof ? Outcome::kNotRun : Outcome::kUnknown;
-    attempt_.is_unsent_by_peer =
-        attempt_.not_run_proof && head.Find(kHopUnsentHeader) != nullptr;
-    attempt_.peer_retry_after = ParseRetryAfter(head);
-    return true;
-  }
-  attempt_.last_event_at = now;
-  if (attempt_.upstream) {
-    attempt_.upstream->last_received_at = now;
-    if (response.load) {
-      components_->registry->OnReportedLoad(*attempt_.upstream, *response.load,
-                                            now);
-    }
-  }
-  if (attempt_.not_run_proof) {
-    if (response.is_misdirected && attempt_.upstream) {
-      attempt_.upstream->is_misdirected = true;
-    }
-    attempt_.OnRefused(components_, response, params_.size);
-    return true;
-  }
-  attempt_.is_unverified = !response.is_verified;
-  if (!IsStream() && !attempt_.has_first_byte) {
+  if (!attempt_.peer_outcome && !attempt_.not_run_proof && !IsStream() &&
+      !attempt_.has_first_byte) {
     OnFirstByte();
   }
-  return true;
-}
-
-void Exchange::RecordNotice(const net::MessageHead& head,
-                            const ResponseInfo& response) {
-  Instant now = components_->loop->Now();
-  if (attempt_.upstream) {
-    attempt_.is_leaving = response.is_leaving;
-    components_->notices->OnResponse(attempt_.upstream->record.id,
-                                     attempt_.notice.get(), response,
-                                     attempt_.sent_at, now);
-    return;
-  }
-  if (const std::string* leaving = head.Find(kHopLeavingHeader)) {
-    components_->notices->OnHopLeaving(*leaving, now);
+  if (IsWinningHead(attempt_)) {
+    hedge_.Cancel();
   }
+  return true;
 }
 
 std::string Exchange::HopLines() const {
@@ -375,8 +369,9 @@
 }
 
 bool Exchange::IsUnsentTo(const flow::Upstream& upstream) const {
-  return attempt_.is_active && attempt_.upstream.get() == &upstream &&
-         !attempt_.connection->has_sent();
+  return (attempt_.is_active && attempt_.upstream.get() == &upstream &&
+          !attempt_.connection->has_sent()) ||
+         hedge_.IsUnsentTo(upstream);
 }
 
 void Exchange::WithdrawUnsent(const flow::Upstream& upstream) {
@@ -385,9 +380,15 @@
   }
   auto self = shared_from_this();
   components_->metrics->CountWithdrawn();
-  CancelAttempt();
   --progress_.sends;
-  Dispatch();
+  if (hedge_.IsUnsentTo(upstream)) {
+    hedge_.Cancel();
+    return;
+  }
+  CancelAttempt();
+  if (!AdoptHedge()) {
+    Dispatch();
+  }
 }
 
 bool Exchange::IsWaitingWith(flow::PromptPartId part) const {
@@ -415,6 +416,10 @@
   if (!attempt_.upstream) {
     return;
   }
+  if (attempt_.number == kFirstAttempt &&
+      components_->hedges->IsEligible(context_, params_)) {
+    components_->hedges->OnFirstByte(context_.service, now - attempt_.sent_at);
+  }
   // Learn the prefill speed only if no other prompts were queued ahead:
   // otherwise it is unknown how much of them was processed before this call
   // arrived.
@@ -593,7 +598,9 @@
       CompleteStream();
       return;
     case ResponseVerdict::kForward:
-      ForwardResponse();
+      if (!AdoptHedge()) {
+        ForwardResponse();
+      }
       return;
   }
 }
@@ -602,7 +609,7 @@
   if (attempt_.upstream && !attempt_.has_first_byte) {
     attempt_.upstream->breaker.OnFailure(components_->loop->Now());
   }
-  if (IsRetryable() && TryRetry("upstream_error")) {
+  if (AdoptHedge() || (IsRetryable() && TryRetry("upstream_error"))) {
     return;
   }
   // The upstream did not say that it has not executed the call.
@@ -640,35 +647,9 @@
 
 void Exchange::OnError(net::ClientError client_error) {
   auto self = shared_from_this();
-  std::optional<NotRunProof> unsent =
-      NotRunProof::FromConnection(*attempt_.connection);
-  bool was_sent = !unsent;
-  // An idle connection that the other side has closed, or on which it has sent
-  // bytes, shows nothing about that side.
-  bool is_stale = !was_sent && attempt_.is_connection_reused;
-  if (attempt_.upstream && !was_sent) {
-    components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
-  }
-  attempt_.ReleaseLoad();
-  attempt_.is_active = false;
   silence_timer_.Cancel();
-  attempt_.connection = nullptr;
-  if (is_stale) {
-    LogStaleConnection(params_, attempt_.endpoint);
-    if (attempt_.upstream) {
-      attempt_.upstream->breaker.OnNeutral();
-    }
-    (attempt_.upstream ? components_->upstream_pool : components_->peer_pool)
-        ->CloseIdle(attempt_.endpoint);
-  } else if (attempt_.upstream) {
-    attempt_.RecordResult(/*has_failed=*/true, components_->loop->Now());
-    attempt_.upstream->breaker.OnFailure(components_->loop->Now());
-    components_->upstream_pool->CloseIdle(attempt_.endpoint);
-  } else if (!was_sent) {
-    components_->fleet->OnUnreachable(attempt_.peer, components_->loop->Now());
-    components_->on_peer_unreachable();
-  }
-  bool may_have_crashed = was_sent &&
+  auto [unsent, is_stale] = FailAttempt(components_, params_, &attempt_);
+  bool may_have_crashed = !unsent &&
                           client_error == net::ClientError::kConnectionClosed &&
                           MayHaveCrashed();
   if (is_finished_) {
@@ -680,7 +661,10 @@
     return;
   }
   if (unsent) {
-    runs_.OnNotRun(*unsent);
+    runs_.OnNotRun(attempt_.number, *unsent);
+    if (AdoptHedge()) {
+      return;
+    }
     if (is_stale) {
       Dispatch();
       return;
@@ -772,10 +756,14 @@
 }
 
 void Exchange::OnNotRun(NotRunProof proof, std::string_view reason) {
-  runs_.OnNotRun(proof);
+  runs_.OnNotRun(attempt_.number, proof);
   if (attempt_.upstream) {
+    components_->hedges->OnRefusal(context_.service);
     progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   }
+  if (AdoptHedge()) {
+    return;
+  }
   bool is_unsent = attempt_.is_unsent_by_peer &&
                    progress_.tried_dispatchers.size() < kMaxTriedDispatchers;
   if (is_unsent) {
@@ -793,7 +781,7 @@
 }
 
 void Exchange::OnMayHaveRun(std::string_view reason) {
-  if (IsRetryable() && TryRetry(reason)) {
+  if (AdoptHedge() || (IsRetryable() && TryRetry(reason))) {
     return;
   }
   SendFailure(502, {}, reason);
@@ -847,6 +835,7 @@
 
 void Exchange::GiveUp(std::string_view reason) {
   CancelAttempt();
+  hedge_.Cancel();
   bool may_have_run = runs_.MayHaveRun();
   SendFailure(may_have_run ? 504 : 503,
               may_have_run ? Millis(0) : kNotRunRetryAfter, reason);
@@ -909,6 +898,9 @@
     attempt_.RecordResult(/*has_failed=*/true, now);
   }
   progress_.tried_upstreams.insert(attempt_.upstream->record.id);
+  if (hedge_.is_active()) {
+    return;
+  }
   if (context_.can_sender_retry) {
     if (!MaySenderResume()) {
       return;
@@ -959,19 +951,9 @@
   if (!attempt_.is_active) {
     return;
   }
-  attempt_.is_active = false;
-  attempt_.ReleaseLoad();
-  if (attempt_.upstream && !attempt_.has_first_byte) {
-    attempt_.upstream->breaker.OnNeutral();
-  }
-  if (auto unsent = NotRunProof::FromConnection(*attempt_.connection)) {
-    runs_.OnNotRun(*unsent);
-    if (attempt_.upstream) {
-      components_->send_limiter->OnUnsent(attempt_.upstream->record.id);
-    }
+  if (auto unsent = edge::CancelAttempt(components_, &attempt_)) {
+    runs_.OnNotRun(attempt_.number, *unsent);
   }
-  attempt_.connection->Abort();
-  attempt_.connection = nullptr;
 }
 
 void Exchange::Finish(std::string_view outcome, int status,
@@ -979,6 +961,8 @@
   is_finished_ = true;
   deadline_timer_.Cancel();
   silence_timer_.Cancel();
+  hedge_timer_.Cancel();
+  hedge_.Cancel();
   Instant now = components_->loop->Now();
   components_->metrics->CountCall(outcome, status);
   components_->metrics->ObserveTotal(now - request_.arrived);
