Revocation: keys count only while the desired state is known to be the newest

Cause: an instance without the store went on with the keys that it had, so a removed key stayed valid there without limit. While a neighbour has a later desired state, no confirmation counts. IdentifyCaller refuses keys on a stale instance with 503; calls without a key on anonymous routes are served. EventLoop::SkipTime lets tests freeze the process on virtual time.

--- a/Source/Core/Edge/caller_identity.cc
+++ b/Source/Core/Edge/caller_identity.cc
@@ -3,16 +3,23 @@
 namespace basilvalve::edge {
 
 CallerIdentity IdentifyCaller(const flow::DesiredState& state,
-                              const flow::Route& route, std::string_view key) {
+                              const flow::Route& route, std::string_view key,
+                              bool is_fresh) {
   CallerIdentity identity;
   if (!state.has_workspaces()) {
     return identity;
   }
   identity.hides_identity = true;
+  if (!key.empty() && !is_fresh) {
+    identity.verdict = IdentityVerdict::kStaleState;
+    return identity;
+  }
   if (!key.empty()) {
     identity.workspace = state.Authenticate(key);
   }
-  identity.is_accepted = identity.workspace != nullptr || route.is_anonymous;
+  if (identity.workspace == nullptr && !route.is_anonymous) {
+    identity.verdict = IdentityVerdict::kUnknownKey;
+  }
   return identity;
 }
 
--- a/Source/Core/Edge/caller_identity.h
+++ b/Source/Core/Edge/caller_identity.h
@@ -8,9 +8,19 @@
 
 namespace basilvalve::edge {
 
+/// Why a caller is refused, if it is.
+enum class IdentityVerdict {
+  kAccepted,
+  /// Its key is missing or unknown.
+  kUnknownKey,
+  /// Its key cannot be checked: it may have been revoked or added since the
+  /// desired state was known to be the newest one.
+  kStaleState,
+};
+
 /// Whether a caller may use a route, and on whose behalf.
 struct CallerIdentity {
-  bool is_accepted = true;
+  IdentityVerdict verdict = IdentityVerdict::kAccepted;
   /// nullptr if the caller has no workspace.
   std::shared_ptr<const flow::Workspace> workspace;
   /// Whether the caller's own headers for key and workspace are removed.
@@ -18,9 +28,10 @@
 };
 
 /// Looks up the caller's key, which is empty if it sent none. Without
-/// workspaces in the desired state, every caller is accepted. Pure function;
-/// thread safe.
+/// workspaces in the desired state, every caller is accepted. `is_fresh`:
+/// whether keys may be checked against the state. Pure function; thread safe.
 CallerIdentity IdentifyCaller(const flow::DesiredState& state,
-                              const flow::Route& route, std::string_view key);
+                              const flow::Route& route, std::string_view key,
+                              bool is_fresh);
 
 }  // namespace basilvalve::edge
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -107,6 +107,16 @@
           .Help("Version of the applied desired state.")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Gauge>& state_fresh =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_state_fresh")
+          .Help("1 if keys may be checked against the desired state.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& freshness_changes =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_state_freshness_changes_total")
+          .Help("How often the desired state became fresh or stale.")
+          .Register(registry);
 };
 
 EdgeMetrics::EdgeMetrics() : impl_(std::make_unique<Impl>()) {}
@@ -183,6 +193,14 @@
   impl_->state_version.Set(static_cast<double>(version));
 }
 
+void EdgeMetrics::SetStateFresh(bool is_fresh) {
+  impl_->state_fresh.Add({}).Set(is_fresh ? 1 : 0);
+}
+
+void EdgeMetrics::CountFreshnessChange(std::string_view to) {
+  impl_->freshness_changes.Add({{"to", std::string(to)}}).Increment();
+}
+
 std::string EdgeMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -47,6 +47,10 @@
   void CountBytesLost(uint64_t unwritten, uint64_t discarded);
   void SetConnectionsOpened(uint64_t upstreams, uint64_t peers);
   void SetStateVersion(uint64_t version);
+  /// Whether keys may be checked against the desired state.
+  void SetStateFresh(bool is_fresh);
+  /// Counts a change of that: `to` is "fresh" or "stale".
+  void CountFreshnessChange(std::string_view to);
   /// All metrics in the Prometheus text exposition format.
   std::string Text() const;
 
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -79,7 +79,8 @@
           }),
       heartbeat_timer_(loop),
       sweep_timer_(loop),
-      drain_timer_(loop) {
+      drain_timer_(loop),
+      freshness_(loop, &metrics_, settings_.revocation_limit) {
   components_.loop = loop;
   components_.dialect = dialect;
   components_.registry = &registry_;
@@ -224,9 +225,13 @@
     RejectRequest(caller, request, 404, "no matching route");
     return;
   }
-  CallerIdentity identity = IdentifyCaller(*state_, *route, params->key);
-  if (!identity.is_accepted) {
-    RejectRequest(caller, request, 401, "unknown or missing key");
+  CallerIdentity identity =
+      IdentifyCaller(*state_, *route, params->key, freshness_.IsFresh());
+  if (identity.verdict != IdentityVerdict::kAccepted) {
+    bool is_stale = identity.verdict == IdentityVerdict::kStaleState;
+    RejectRequest(
+        caller, request, is_stale ? 503 : 401,
+        is_stale ? "desired state is stale" : "unknown or missing key");
     return;
   }
   CallContext context;
@@ -344,9 +349,16 @@
          loop_->Now() - region_state_seen_at_ > kStateVersionGrace;
 }
 
-void EdgeNode::SetCatalogPosition(const flow::CatalogPosition& position) {
+void EdgeNode::SetCatalogPosition(const flow::CatalogPosition& position,
+                                  Instant known_at) {
   catalog_position_ = position;
-  catalog_confirmed_at_ = loop_->Now();
+  catalog_confirmed_at_ = known_at;
+}
+
+void EdgeNode::OnStateConfirmed(Instant known_at) {
+  if (state_ != nullptr && region_state_version_ <= state_->version()) {
+    freshness_.OnConfirmed(known_at);
+  }
 }
 
 void EdgeNode::BroadcastCatalogChanges(const CatalogChanges& changes) {
@@ -360,6 +372,7 @@
 }
 
 void EdgeNode::OnDatagram(std::string_view bytes) {
+  freshness_.OnDatagram();
   if (IsCatalogDatagram(bytes)) {
     auto changes = DecodeCatalogChanges(bytes);
     if (changes && catalog_handlers_.on_changes) {
@@ -398,7 +411,7 @@
     region_state_seen_at_ = loop_->Now();
   }
   if (heartbeat->catalog_position.revision > 0 &&
-      catalog_handlers_.on_confirmed) {
+      catalog_handlers_.on_confirmed && !freshness_.MayDatagramsBeOld()) {
     catalog_handlers_.on_confirmed(heartbeat->catalog_position,
                                    loop_->Now() - heartbeat->catalog_age);
   }
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -10,6 +10,7 @@
 #include "Core/Edge/accepted_connections.h"
 #include "Core/Edge/catalog_codec.h"
 #include "Core/Edge/exchange.h"
+#include "Core/Edge/freshness_monitor.h"
 
 namespace basilvalve::edge {
 
@@ -29,6 +30,9 @@
   /// Longest time from the start of a drain to the exit of the process.
   Millis stop_grace{8000};
   uint64_t seed = 0;
+  /// Longest time after which a key that the newest desired state lacks is
+  /// still accepted; nullopt: no limit.
+  std::optional<Millis> revocation_limit;
 };
 
 /// Receives the upstreams, the instances and the desired state from the
@@ -71,8 +75,13 @@
   bool IsCatalogReader() const { return dispatchers_.IsCatalogReader(); }
   /// Whether others of the region rely on its catalog readers.
   bool HasCatalogReaders() const { return dispatchers_.has_catalog_readers(); }
-  /// Records how far this instance has read the catalog, for its heartbeats.
-  void SetCatalogPosition(const flow::CatalogPosition& position);
+  /// Records how far this instance has read the catalog, for its heartbeats,
+  /// and when that was known to be all of it.
+  void SetCatalogPosition(const flow::CatalogPosition& position,
+                          Instant known_at);
+  /// The desired state was the newest one at `known_at`. Ignored while another
+  /// instance of the region has a later one.
+  void OnStateConfirmed(Instant known_at);
   /// Passes changes on to the other instances of the region.
   void BroadcastCatalogChanges(const CatalogChanges& changes);
   /// Whether the instance accepts callers: it has a desired state and is not
@@ -179,6 +188,7 @@
   // Heartbeats of other regions that the next one to this region passes on.
   std::vector<std::string> relayed_heartbeats_;
   CatalogHandlers catalog_handlers_;
+  FreshnessMonitor freshness_;
   // Latest version of the desired state among the region's instances, and when
   // it was first seen.
   uint64_t region_state_version_ = 0;
--- a/Source/Core/Net/event_loop.cc
+++ b/Source/Core/Net/event_loop.cc
@@ -80,6 +80,8 @@
   return true;
 }
 
+void EventLoop::SkipTime(Micros time) { impl_->virtual_clock->Advance(time); }
+
 void EventLoop::Stop() { impl_->context.stop(); }
 
 Instant EventLoop::Now() const {
--- a/Source/Core/Net/event_loop.h
+++ b/Source/Core/Net/event_loop.h
@@ -34,6 +34,9 @@
   /// Runs callbacks until `done` returns true or `timeout` has passed; returns
   /// whether `done` returned true. For tests and tools. Not thread safe.
   bool RunUntil(const std::function<bool()>& done, Millis timeout);
+  /// Moves virtual time on without running callbacks, as if the process had
+  /// been frozen. Pre: on virtual time. Not thread safe.
+  void SkipTime(Micros time);
   /// Makes Run return after the current callback. Thread safe.
   void Stop();
   /// The time of the loop's time source. Thread safe.
