Tests: the key stays at the instance, and readers state when the store was asked

Cause: no test saw a key that reached another instance, or a reader that was frozen and reports the arrival of an old reply as its confirmation. Datagrams are not timed without a limit for revocations.

--- a/Source/Core/Edge/freshness_monitor.cc
+++ b/Source/Core/Edge/freshness_monitor.cc
@@ -48,7 +48,11 @@
   }
 }
 
-void FreshnessMonitor::OnDatagram() { pauses_.OnDatagram(loop_->Now()); }
+void FreshnessMonitor::OnDatagram() {
+  if (freshness_.has_limit()) {
+    pauses_.OnDatagram(loop_->Now());
+  }
+}
 
 bool FreshnessMonitor::MayDatagramsBeOld() const {
   return freshness_.has_limit() && pauses_.IsResuming(loop_->Now());
--- a/Source/UnitTests/Core/Edge/caller_identity_test.cc
+++ b/Source/UnitTests/Core/Edge/caller_identity_test.cc
@@ -141,6 +141,36 @@
   }
 }
 
+// Guards against a key that reaches another instance.
+TEST_CASE("another instance gets the name of the workspace, not the key") {
+  EdgeFixture fixture;
+  Apply(&fixture, {MakeWorkspace("acme", 1)});
+  std::vector<net::ServerRequest> forwarded;
+  net::TestServer peer(&fixture.loop,
+                       [&](const net::ServerConnection::Ptr& caller,
+                           const net::ServerRequest& request) {
+                         forwarded.push_back(request);
+                         RespondOk(caller, request);
+                       });
+  flow::Heartbeat heartbeat;
+  heartbeat.from.id = InstanceId("peer");
+  heartbeat.from.region = RegionId("south");
+  heartbeat.from.peer_address = peer.endpoint().Text();
+  heartbeat.from.incarnation = heartbeat.sequence = 1;
+  heartbeat.service_capacities[kService] = {1, Micros(0), 50, 0, 0};
+  fixture.node->fleet().OnHeartbeat(heartbeat, fixture.loop.Now());
+  auto caller = fixture.Call(EdgeFixture::Request(
+      "/keyed/", "r1", "", "Workspace: x\r\nKey: key-of-acme\r\n"));
+  REQUIRE(fixture.RunUntil([&] { return !forwarded.empty(); }));
+  const net::MessageHead& head = forwarded[0].head;
+  CHECK(head.Find("Key") == nullptr);
+  CHECK(head.Find("Workspace") == nullptr);
+  auto hop = ParseHopHeader(HeaderOf(forwarded[0], kHopHeader.data()));
+  REQUIRE(hop);
+  CHECK(hop->workspace == WorkspaceId("acme"));
+  CHECK(hop->workspace_priority == 1);
+}
+
 // Guards against a key sent by an instance whose desired state is older and
 // without workspaces.
 TEST_CASE("an instance with workspaces drops a key that a peer passes on") {
--- a/Source/UnitTests/Platform/strict_revocation_test.cc
+++ b/Source/UnitTests/Platform/strict_revocation_test.cc
@@ -32,8 +32,10 @@
          keys + "]}]}";
 }
 
-// A node on virtual time, alone or as a follower in a region of ten, the others
-// of which are only registered. The test speaks for them with datagrams.
+enum class Role { kAlone, kFollower, kReader };
+
+// A node on virtual time, alone or in a region of ten, the others of which are
+// only registered. The test speaks for them with datagrams.
 struct RevocationFixture {
   net::EventLoop loop{net::TimeSource::kVirtual};
   FakeStore fake_store{&loop};
@@ -50,7 +52,16 @@
   std::unique_ptr<edge::EdgeNode> node;
   std::unique_ptr<StoreClient> store;
   std::unique_ptr<StoreWatcher> watcher;
-  std::unique_ptr<net::DatagramSocket> peer;
+  // Reserves a port for the datagrams of the other instances.
+  std::unique_ptr<net::Listener> listener =
+      std::move(*net::Listener::Create(&loop, {"127.0.0.1", 0}, Millis(1000),
+                                       [](std::unique_ptr<net::Socket>) {}));
+  std::optional<flow::Heartbeat> received;
+  std::unique_ptr<net::DatagramSocket> peer =
+      std::move(*net::DatagramSocket::Create(
+          &loop, listener->LocalEndpoint(), [this](std::string_view bytes) {
+            received = edge::DecodeHeartbeat(bytes);
+          }));
   uint64_t sequence = 0;
   int calls = 0;
 
@@ -66,24 +77,27 @@
 
   explicit RevocationFixture(
       const std::string& bounds = R"("revoke_strict":true,"revoke_ms":5000)",
-      bool is_follower = false) {
+      Role role = Role::kAlone) {
     boot = *ParseBootSettings(BootJson(bounds));
     edge::EdgeSettings settings;
     settings.self = Instance(0);
     settings.revocation_limit = boot.revocation_limit;
     settings.public_address = settings.peer_address = {"127.0.0.1", 0};
     fake_store.page_size = 50;
-    if (is_follower) {
+    if (role != Role::kAlone) {
       std::vector<flow::InstanceRecord> members;
       for (int i = 0; i < 10; ++i) {
         members.push_back(Instance(i));
+        members.back().peer_address = listener->LocalEndpoint().Text();
         fake_store.Put("instances/" + members.back().id.value(),
                        EncodeInstance(members.back()));
       }
       for (const flow::InstanceRecord& record : members) {
         flow::DispatcherSet set(record, Instant());
         set.SetMembers(members);
-        settings.self = set.IsCatalogReader() ? settings.self : record;
+        if (set.IsCatalogReader() == (role == Role::kReader)) {
+          settings.self = record;
+        }
       }
     }
     fake_store.Put("servers/u1", R"({"service":"s","address":")" +
@@ -96,11 +110,9 @@
                                           &node->metrics());
     watcher = std::make_unique<StoreWatcher>(&loop, store.get(), node.get(),
                                              &boot, [] {});
-    peer = std::move(*net::DatagramSocket::Create(&loop, {"127.0.0.1", 0},
-                                                  [](std::string_view) {}));
     watcher->Start();
     REQUIRE(loop.RunUntil([&] { return node->IsReady(); }, Seconds(3)));
-    REQUIRE(node->IsCatalogReader() != is_follower);
+    REQUIRE(node->IsCatalogReader() == (role != Role::kFollower));
     // The first watch begins after a pause of 1 s and ends 1 s later.
     RunFor(Millis(2200));
   }
@@ -133,6 +145,19 @@
     heartbeat.catalog_age = age;
     peer->Send(node->peer_endpoint(), edge::EncodeHeartbeat(heartbeat));
   }
+  // The other instances of the region show that they run.
+  void ShowAlive() {
+    ++sequence;
+    for (int i = 0; i < 10; ++i) {
+      flow::Heartbeat heartbeat;
+      heartbeat.from = Instance(i);
+      heartbeat.from.peer_address = listener->LocalEndpoint().Text();
+      heartbeat.sequence = sequence;
+      if (heartbeat.from.id != node->fleet().self().id) {
+        peer->Send(node->peer_endpoint(), edge::EncodeHeartbeat(heartbeat));
+      }
+    }
+  }
   bool HasMetric(const std::string& line) {
     return node->metrics().Text().find(line + "\n") != std::string::npos;
   }
@@ -237,7 +262,7 @@
   };
   for (const Row& row : rows) {
     INFO(row.name);
-    RevocationFixture fixture(R"("revoke_strict":true)", /*is_follower=*/true);
+    RevocationFixture fixture(R"("revoke_strict":true)", Role::kFollower);
     fixture.fake_store.SetFailureMode(FailureMode::kNoResponse);
     fixture.RunFor(kPastStale);
     REQUIRE(fixture.Status("k1") == 503);
@@ -252,7 +277,7 @@
 
 // Guards against a confirmation of the lost history that arrives late.
 TEST_CASE("a follower that knows of a later era trusts no earlier one") {
-  RevocationFixture fixture(R"("revoke_strict":true)", /*is_follower=*/true);
+  RevocationFixture fixture(R"("revoke_strict":true)", Role::kFollower);
   fixture.fake_store.SetFailureMode(FailureMode::kNoResponse);
   fixture.Confirm(5, Millis(0), /*era=*/2);
   fixture.RunFor(kPastStale);
@@ -268,7 +293,7 @@
 // Guards against a datagram that is taken for recent because it is read now.
 TEST_CASE(
     "a confirmation that waited while the process was frozen is ignored") {
-  RevocationFixture fixture(R"("revoke_strict":true)", /*is_follower=*/true);
+  RevocationFixture fixture(R"("revoke_strict":true)", Role::kFollower);
   fixture.fake_store.SetFailureMode(FailureMode::kNoResponse);
   fixture.Confirm(kRead);
   fixture.loop.SkipTime(kPastStale);
@@ -283,6 +308,26 @@
   CHECK(fixture.Status("k1") == 200);
 }
 
+// Guards against a reader that was frozen and passes on a confirmation of then
+// as one of now.
+TEST_CASE("a reader's heartbeats state how long ago the store was asked") {
+  RevocationFixture fixture(R"("revoke_strict":true)", Role::kReader);
+  FakeStore& store = fixture.fake_store;
+  store.holds_responses = true;
+  REQUIRE(fixture.loop.RunUntil(
+      [&] { return store.held_response_count() == 1; }, Millis(3000)));
+  fixture.loop.SkipTime(kPastStale);
+  store.ReleaseResponses();
+  store.SetFailureMode(FailureMode::kNoResponse);
+  fixture.ShowAlive();
+  fixture.RunFor(Millis(50));
+  fixture.received.reset();
+  fixture.RunFor(Millis(400));
+  REQUIRE(fixture.received);
+  CHECK(fixture.received->catalog_position.revision == kRead);
+  CHECK(fixture.received->catalog_age >= kPastStale);
+}
+
 TEST_CASE("a restored store confirms once it was read in its new era") {
   RevocationFixture fixture;
   fixture.fake_store.TakeCopy();
@@ -300,8 +345,8 @@
 
 TEST_CASE("without strict revocation, keys count however old the state is") {
   for (const char* bounds : {"", R"("revoke_strict":false,"revoke_ms":5000)"}) {
-    for (bool is_follower : {false, true}) {
-      RevocationFixture fixture(bounds, is_follower);
+    for (Role role : {Role::kAlone, Role::kFollower}) {
+      RevocationFixture fixture(bounds, role);
       fixture.fake_store.SetFailureMode(FailureMode::kNoResponse);
       fixture.RunFor(Seconds(20));
       CHECK(fixture.Status("k1") == 200);
