Net: refuse impossible statuses and responses cut before the request was written

A response without length or chunks, which ends with its connection, counted as complete when the server ended its sending direction while the request was still being written. A reset in the same place was detected already: a failed write ends the request at once, so that no later read can look like an orderly end. 2. The parser accepted every status of three digits: 000, 099 and 600 to 999 were passed on to callers.

Change: such a response is complete only if the request was written in full; else the request fails as on a lost connection. A status outside of 100 to 599 is malformed. Both hold for all clients on Core/Net: basilvalve-gateway's calls to upstreams and other instances and basilvalved's calls to upstreams. A response with a length or chunks may still come before the request was written.

--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -181,8 +181,11 @@
   if (got.status == IoStatus::kEof) {
     parser_.ParseEof();
     reusable_ = false;
-    if (head_delivered_ && !discarding_ && parser_.is_done() &&
-        parser_.parse_error() == ParseError::kNone) {
+    // A server that ends the connection before it has read the request may have
+    // been stopped in the middle of its response, and nothing else tells the
+    // end of this response from a part of it.
+    if (has_written_all() && head_delivered_ && !discarding_ &&
+        parser_.is_done() && parser_.parse_error() == ParseError::kNone) {
       FinishResponse();
     } else {
       FailRequest(ClientError::kConnectionClosed);
--- a/Source/Core/Net/message.cc
+++ b/Source/Core/Net/message.cc
@@ -39,6 +39,9 @@
   uint64_t chunked_bytes = 0;
 };
 
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 constexpr std::string_view kChunkOffsetExtension = ";basilvalve-at=";
 
 // The offset that a chunk states; nullopt if it states none.
@@ -96,6 +99,11 @@
   void on_response_impl(int code, View reason, int version,
                         error_code& ec) override {
     parsed.head.status = code;
+    if (code < kMinStatus || code > kMaxStatus) {
+      // The library accepts any three digits.
+      ec = http::error::bad_status;
+      return;
+    }
     if (HasStatusLine(ToStd(reason))) {
       ec = http::error::bad_reason;
       return;
--- a/Source/UnitTests/Core/Edge/raw_server.cc
+++ b/Source/UnitTests/Core/Edge/raw_server.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kBacklog = 64;
+constexpr int kSmallBufferBytes = 16 * 1024;
 constexpr size_t kReadBytes = size_t{64} * 1024;
 
 // Value of a header of a request; empty if it has none.
@@ -59,6 +60,12 @@
   }
 }
 
+void RawServer::LimitReceiveBuffer() {
+  int size = kSmallBufferBytes;
+  REQUIRE(setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size)) ==
+          0);
+}
+
 void RawServer::Poll() {
   for (;;) {
     int fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/Source/UnitTests/Core/Edge/raw_server.h
+++ b/Source/UnitTests/Core/Edge/raw_server.h
@@ -46,6 +46,9 @@
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
+  /// Limits what new connections receive while the test does not read, so that
+  /// a sender is sure to be held up.
+  void LimitReceiveBuffer();
   /// Accepts and reads what there is, and calls the handlers.
   void Poll();
   /// Called for a new connection.
--- a/Source/UnitTests/Core/Http/http_contract_test.cc
+++ b/Source/UnitTests/Core/Http/http_contract_test.cc
@@ -80,6 +80,16 @@
       {"cut headers", "HTTP/1.1 200 OK\r\nContent-Le", CallEnd::kIncomplete,
        false},
       {"not HTTP", "garbage\r\n\r\n", CallEnd::kIncomplete, false},
+      {"status 000", "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nabc",
+       CallEnd::kIncomplete, false},
+      {"status 099", "HTTP/1.1 099 X\r\nContent-Length: 3\r\n\r\nabc",
+       CallEnd::kIncomplete, false},
+      {"status 999", "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nabc",
+       CallEnd::kIncomplete, false},
+      {"status 1000", "HTTP/1.1 1000 X\r\nContent-Length: 3\r\n\r\nabc",
+       CallEnd::kIncomplete, false},
+      {"negative status", "HTTP/1.1 -20 X\r\nContent-Length: 3\r\n\r\nabc",
+       CallEnd::kIncomplete, false},
       {"short body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
        CallEnd::kIncomplete, true},
       {"cut chunk",
@@ -110,6 +120,36 @@
   CHECK(server.requests == 1);
 }
 
+// Guards against a part that counts as the response to a request that the
+// server has not read, whether it ends or resets the connection.
+TEST_CASE("an early response without a length to an unread request is cut") {
+  const std::string part = "HTTP/1.1 200 OK\r\n\r\n{}";
+  Request request = kPost;
+  request.body.assign(size_t{32} * 1024 * 1024, 'x');
+  for (bool resets : {false, true}) {
+    INFO("resets " << resets);
+    Endpoint endpoint;
+    int listener = ListenOnLoopback(&endpoint);
+    std::atomic<int> accepted{-1};
+    std::thread server([&] {
+      int fd = ::accept(listener, nullptr, nullptr);
+      char buf[4096];
+      ::recv(fd, buf, sizeof(buf), 0);
+      ::send(fd, part.data(), part.size(), MSG_NOSIGNAL);
+      resets ? ::close(fd) : ::shutdown(fd, SHUT_WR);
+      accepted = resets ? -1 : fd;
+    });
+    CollectingSink sink;
+    CallReport report = Execute(endpoint, request, {}, &sink);
+    server.join();
+    if (accepted >= 0) {
+      ::close(accepted);
+    }
+    ::close(listener);
+    CHECK(report.end == CallEnd::kIncomplete);
+  }
+}
+
 TEST_CASE("a refused connection is reported as not sent") {
   CollectingSink sink;
   Endpoint nobody{"127.0.0.1", 1};
--- a/Source/UnitTests/Core/Net/client_connection_test.cc
+++ b/Source/UnitTests/Core/Net/client_connection_test.cc
@@ -107,6 +107,70 @@
   CHECK(second.statuses == std::vector<int>{200});
 }
 
+// Guards against a part that counts as the response: the server answers a long
+// request early, without a length, and its connection ends before the request
+// was written.
+TEST_CASE("a response that ends with its connection needs a written request") {
+  enum class End { kOrderly, kReset };
+  struct Row {
+    const char* name;
+    std::string response;
+    End end;
+    bool is_request_read;
+    bool is_complete;
+  };
+  const std::string unsized = "HTTP/1.1 200 OK\r\n\r\npart";
+  const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const Row& row : {
+           Row{"read, end", unsized, End::kOrderly, true, true},
+           Row{"read, reset", unsized, End::kReset, true, false},
+           Row{"unread, end", unsized, End::kOrderly, false, false},
+           Row{"unread, reset", unsized, End::kReset, false, false},
+           Row{"unread, interim, end", interim + unsized, End::kOrderly, false,
+               false},
+           Row{"unread, interim alone", interim, End::kOrderly, false, false},
+           Row{"unread, interim, reset", interim + unsized, End::kReset, false,
+               false},
+           Row{"unread, length, end", sized, End::kOrderly, false, true},
+       }) {
+    INFO(row.name);
+    EventLoop loop;
+    std::unique_ptr<Socket> server;
+    auto listener = Listener::Create(
+        &loop, {"127.0.0.1", 0}, Millis(2000),
+        [&](std::unique_ptr<Socket> socket) { server = std::move(socket); });
+    REQUIRE(listener);
+    auto connection = ClientConnection::Open(
+        &loop, (*listener)->LocalEndpoint(), Millis(1000), Millis(1000));
+    // More than both sockets' buffers hold if nobody reads.
+    const std::string request =
+        row.is_request_read ? "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+                            : std::string(size_t{32} * 1024 * 1024, 'x');
+    RecordingObserver observer;
+    connection->Send(request, &observer);
+    REQUIRE(loop.RunUntil(
+        [&] { return server != nullptr && connection->has_sent(); },
+        kWaitTimeout));
+    loop.RunUntil([] { return false; }, Millis(20));
+    CHECK(connection->has_written_all() == row.is_request_read);
+    if (row.is_request_read && row.end == End::kOrderly) {
+      std::vector<char> buf(4096);
+      REQUIRE(server->Read(buf).bytes == request.size());
+    }
+    server->Write(row.response);
+    if (row.end == End::kReset) {
+      // The request is unread, so that the connection is reset.
+      server->Close();
+    } else {
+      server->ShutdownWrite();
+    }
+    REQUIRE(loop.RunUntil([&] { return observer.has_ended; }, kWaitTimeout));
+    CHECK(observer.error.has_value() == !row.is_complete);
+    CHECK_FALSE(connection->is_reusable());
+  }
+}
+
 // Guards against TWICE: a call that was given up begins late at its receiver.
 TEST_CASE(
     "an aborted request does not complete at a receiver that reads late") {
--- a/Source/UnitTests/Core/Net/message_test.cc
+++ b/Source/UnitTests/Core/Net/message_test.cc
@@ -96,6 +96,35 @@
   }
 }
 
+// Guards against passing on a status that no server may send, such as 000.
+TEST_CASE("a response with an impossible status is malformed") {
+  for (const char* status :
+       {"000", "099", "1000", "20", "2", "", "-20", "-200", "+200", "2 0",
+        "0x2", "600", "999", "20x", " 200"}) {
+    std::string text =
+        std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n";
+    for (size_t step : {size_t{1}, text.size()}) {
+      INFO(status << " in pieces of " << step);
+      MessageParser parser(MessageParser::Kind::kResponse, kMaxHeaderBytes,
+                           kMaxBodyBytes);
+      FeedAll(&parser, text, step);
+      CHECK(parser.parse_error() == ParseError::kMalformed);
+      CHECK_FALSE(parser.has_head());
+    }
+  }
+  for (const char* status : {"100", "200", "299", "599"}) {
+    INFO(status);
+    MessageParser parser(MessageParser::Kind::kResponse, kMaxHeaderBytes,
+                         kMaxBodyBytes);
+    FeedAll(
+        &parser,
+        std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n",
+        100);
+    CHECK(parser.is_done());
+    CHECK(parser.head().status == std::stoi(status));
+  }
+}
+
 TEST_CASE("each exceeded limit reports its own error") {
   MessageParser head(MessageParser::Kind::kRequest, kMaxHeaderBytes,
                      kMaxBodyBytes);
