--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -10,8 +10,8 @@
 #include "Core/Edge/accepted_connections.h"
 #include "Core/Edge/catalog_codec.h"
 #include "Core/Edge/exchange.h"
-#include "Core/Edge/hedge_planner.h"
 #include "Core/Edge/freshness_monitor.h"
+#include "Core/Edge/hedge_planner.h"
 
 namespace basilvalve::edge {
 
