Flow: the queue of a plain upstream is estimated from its own reports

With 12 and 30 that exchange their loads every 270 and 450 ms, the reported queue, which shrank by one call per slot time, made all of them send to upstreams that others were filling: plain calls take 15 to 60 ms, so that the loads in heartbeats are over when they arrive.

Change: flow::QueueEstimate takes an upstream's latest report and approaches the mean of its reports with a time constant of 300 ms, for upstreams that report slowness or refused calls. After 400 ms without a report the loads of the instances count, as before and as for all other upstreams.

--- a/Source/Core/Flow/upstream.cc
+++ b/Source/Core/Flow/upstream.cc
@@ -127,19 +127,14 @@
       notice(std::make_shared<UpstreamNotice>(record.started_at_ms)),
       breaker(kBreakerSettings) {}
 
-LoadShare Upstream::KnownLoad(Instant now) const {
-  LoadShare known = own_load;
-  known.Add(forwarded_load);
+LoadShare Upstream::TotalLoad(Instant now, double mean_prefill_tokens) const {
+  LoadShare total = own_load;
+  total.Add(forwarded_load);
   for (const auto& [instance, neighbour] : neighbour_loads) {
     if (now - neighbour.at < kNeighbourLoadLifetime) {
-      known.Add(neighbour.share);
+      total.Add(neighbour.share);
     }
   }
-  return known;
-}
-
-LoadShare Upstream::TotalLoad(Instant now, double mean_prefill_tokens) const {
-  LoadShare total = KnownLoad(now);
   if (reported && now - reported->at < kReportedLoadLifetime) {
     total.running =
         std::max(total.running, reported->running + reported->waiting);
@@ -150,17 +145,12 @@
   return total;
 }
 
-double Upstream::PlainCalls(Micros slot_time, Instant now) const {
-  double calls = KnownLoad(now).running;
-  if (!reported || now - reported->at >= kReportedLoadLifetime) {
-    return calls;
-  }
-  double there = reported->running + reported->waiting;
-  if (slowness.is_reported() || full_pause.has_refused()) {
-    there -= static_cast<double>((now - reported->at).count()) /
-             static_cast<double>(std::max(slot_time, Micros(1)).count());
+double Upstream::PlainCalls(Instant now) const {
+  bool is_adaptive = slowness.is_reported() || full_pause.has_refused();
+  if (auto estimate = queue.At(now); is_adaptive && estimate) {
+    return std::max<double>(own_load.running, *estimate);
   }
-  return std::max(calls, there);
+  return TotalLoad(now, 0).running;
 }
 
 double Upstream::MaxPlainCalls() const {
@@ -182,6 +172,7 @@
   is_misdirected = false;
   reported.reset();
   slowness = Slowness();
+  queue = QueueEstimate();
   service_time = ServiceTime(kServiceTimeWeight);
   full_pause = FullPause();
 }
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -14,6 +14,7 @@
 #include "Core/Admission/breaker.h"
 #include "Core/Flow/desired_state.h"
 #include "Core/Flow/full_pause.h"
+#include "Core/Flow/queue_estimate.h"
 #include "Core/Flow/service_time.h"
 #include "Core/Flow/slowness.h"
 #include "Core/Flow/upstream_notice.h"
@@ -159,6 +160,7 @@
   LoadShare forwarded_load;
   std::optional<ReportedLoad> reported;
   Slowness slowness;
+  QueueEstimate queue;
   /// Time of a plain call, at the usual speed of the machine.
   ServiceTime service_time{kServiceTimeWeight};
   FullPause full_pause;
@@ -181,13 +183,10 @@
   /// it is higher; each of its waiting calls counts as `mean_prefill_tokens`
   /// tokens to prefill.
   LoadShare TotalLoad(Instant now, double mean_prefill_tokens) const;
-  /// Load from this instance and the others of the region, without their stale
-  /// reports and without the upstream's own.
-  LoadShare KnownLoad(Instant now) const;
   /// Number of plain calls that run or wait there. If the upstream reports its
-  /// slowness or refuses calls, its reported queue shrinks by one call each
-  /// `slot_time`; else it counts as reported until it is outdated.
-  double PlainCalls(Micros slot_time, Instant now) const;
+  /// slowness or refuses calls, it is estimated from its reports; else it is
+  /// the total load.
+  double PlainCalls(Instant now) const;
   /// Number of plain calls that may run or wait there. Calls go elsewhere
   /// before its queue is full, as the number is estimated.
   double MaxPlainCalls() const;
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -222,6 +222,7 @@
                                       Instant now) {
   load.at = now;
   upstream.reported = load;
+  upstream.queue.OnReport(load.running + load.waiting, now);
   if (load.slowness) {
     upstream.slowness.OnReport(*load.slowness, now);
   }
@@ -266,7 +267,7 @@
                                              Instant now) const {
   PlainForecast forecast;
   double slots = std::max(1U, upstream.record.slots);
-  double calls = upstream.PlainCalls(SlotTimeOf(upstream, now), now);
+  double calls = upstream.PlainCalls(now);
   forecast.queue_factor = 1 + std::max(0.0, calls + 1 - slots) / slots;
   forecast.finish = Micros(static_cast<int64_t>(
       PlainServiceTimeUs(upstream, now) * forecast.queue_factor));
@@ -279,8 +280,7 @@
 bool UpstreamRegistry::HasPlainCapacity(const Upstream& upstream,
                                         Instant now) const {
   return upstream.full_pause.HasEnded(now) &&
-         upstream.PlainCalls(SlotTimeOf(upstream, now), now) <
-             upstream.MaxPlainCalls();
+         upstream.PlainCalls(now) < upstream.MaxPlainCalls();
 }
 
 Micros UpstreamRegistry::PlainSlotTimeOf(const ServiceName& service,
