Edge: any response to forward wins the race of a hedged call

Cause: only a 2xx head won. After a complete 404 of the first attempt the call waited for the hedge, and ended with 502 or 504 if that failed: the caller lost a response that it would have had without hedging. Refusals that prove nothing (429 or 503 without a statement that the call did not run) did not keep a service from being hedged.

Change: a head wins if ClassifyResponse would forward it. ReadHead records each kind of refusal. New tests: a 404 of either attempt, and a first upstream that leaves while the hedge is in flight.

--- a/Source/Core/Edge/attempt_steps.cc
+++ b/Source/Core/Edge/attempt_steps.cc
@@ -2,6 +2,7 @@
 
 #include "Core/Common/hash.h"
 #include "Core/Edge/call_log.h"
+#include "Core/Edge/hedge_planner.h"
 #include "Core/Edge/hop_header.h"
 #include "Core/Edge/message_serializer.h"
 #include "Core/Edge/response_classifier.h"
@@ -83,6 +84,10 @@
   if (attempt->not_run_proof) {
     LogRefusal(params, attempt->endpoint, head.status, now - attempt->sent_at);
   }
+  if (attempt->upstream &&
+      (attempt->not_run_proof || PromisesNotRun(head.status))) {
+    components->hedges->OnRefusal(attempt->upstream->record.service);
+  }
   if (origin == ResponseOrigin::kPeerFailure) {
     attempt->peer_outcome =
         attempt->not_run_proof ? Outcome::kNotRun : Outcome::kUnknown;
@@ -110,8 +115,11 @@
 }
 
 bool IsWinningHead(const Attempt& attempt) {
-  return attempt.head.status / 100 == 2 && !attempt.not_run_proof &&
-         !attempt.peer_outcome && !attempt.is_unverified;
+  return ClassifyResponse({.status = attempt.head.status,
+                           .peer_outcome = attempt.peer_outcome,
+                           .is_refusal = attempt.not_run_proof.has_value(),
+                           .is_unverified = attempt.is_unverified})
+             .verdict == ResponseVerdict::kForward;
 }
 
 bool IsUpstreamError(const Attempt& attempt) {
--- a/Source/Core/Edge/attempt_steps.h
+++ b/Source/Core/Edge/attempt_steps.h
@@ -26,8 +26,8 @@
 bool ReadHead(EdgeComponents* components, const CallParams& params,
               Attempt* attempt, const net::MessageHead& head);
 
-/// Whether the head of the response ends a race between two attempts: it is a
-/// success, verified, of this call. Pre: ReadHead returned true. Not thread
+/// Whether the head of the response ends a race between two attempts: a plain
+/// response with it would be forwarded. Pre: ReadHead returned true. Not thread
 /// safe.
 bool IsWinningHead(const Attempt& attempt);
 /// Whether the status of the response is an error of the upstream. Not thread
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -63,7 +63,7 @@
       caller_deadline_(request_.arrived + context_.time_left),
       target_deadline_(request_.arrived + context_.target_left),
       hedge_timer_(components->loop),
-      hedge_({components, &context_, &params_, &progress_, &runs_,
+      hedge_({components, &params_, &progress_, &runs_,
               [this] { OnHedgeWon(); }}) {}
 
 void Exchange::Start() {
@@ -586,9 +586,7 @@
       CompleteStream();
       return;
     case ResponseVerdict::kForward:
-      if (!AdoptHedge()) {
-        ForwardResponse();
-      }
+      ForwardResponse();
       return;
   }
 }
@@ -746,7 +744,6 @@
 void Exchange::OnNotRun(NotRunProof proof, std::string_view reason) {
   runs_.OnNotRun(attempt_.number, proof);
   if (attempt_.upstream) {
-    components_->hedges->OnRefusal(context_.service);
     progress_.tried_upstreams.insert(attempt_.upstream->record.id);
   }
   if (AdoptHedge()) {
--- a/Source/Core/Edge/hedge_attempt.cc
+++ b/Source/Core/Edge/hedge_attempt.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "Core/Edge/hedge_planner.h"
-
 namespace basilvalve::edge {
 
 void HedgeAttempt::Send(Attempt attempt, std::string bytes) {
@@ -50,7 +48,6 @@
 
 void HedgeAttempt::OnUnwantedHead() {
   if (attempt_.not_run_proof) {
-    call_.components->hedges->OnRefusal(call_.context->service);
     call_.runs->OnNotRun(attempt_.number, *attempt_.not_run_proof);
   } else {
     bool has_failed = attempt_.is_unverified || IsUpstreamError(attempt_);
--- a/Source/Core/Edge/hedge_attempt.h
+++ b/Source/Core/Edge/hedge_attempt.h
@@ -17,7 +17,6 @@
   /// What the hedge shares with the exchange that owns it.
   struct Call {
     EdgeComponents* components;
-    const CallContext* context;
     const CallParams* params;
     CallProgress* progress;
     RunLedger* runs;
--- a/Source/UnitTests/Core/Edge/hedge_test.cc
+++ b/Source/UnitTests/Core/Edge/hedge_test.cc
@@ -11,7 +11,7 @@
 using Caller = net::ServerConnection::Ptr;
 using Request = net::ServerRequest;
 
-enum class Reply { kAnswer, kError, kRefusal, kBreak, kNone };
+enum class Reply { kAnswer, kMissing, kError, kRefusal, kBreak, kNone };
 
 /// What an upstream does with the call, so long after it arrived.
 struct Behaviour {
@@ -90,6 +90,9 @@
         case Reply::kAnswer:
           caller->Write(Upstream::Response(request, 200, id));
           break;
+        case Reply::kMissing:
+          caller->Write(Upstream::Response(request, 404, id));
+          break;
         case Reply::kError:
           caller->Write(Upstream::Response(request, 500, id));
           break;
@@ -118,7 +121,7 @@
 
 // Guards against two responses, a lost one, a loser that goes on, and a 503
 // for a call that may have run.
-TEST_CASE("the first success of a hedged call is its response") {
+TEST_CASE("the first usable response to a hedged call is its response") {
   using enum Reply;
   struct Row {
     const char* name;
@@ -155,6 +158,22 @@
                -1,
                -1,
                -1},
+           Row{"first has nothing",
+               {kMissing, Millis(400)},
+               kNever,
+               "404",
+               "u1",
+               0,
+               0,
+               1},
+           Row{"second has nothing",
+               kNever,
+               {kMissing, Millis(50)},
+               "404",
+               "u2",
+               1,
+               1,
+               0},
            Row{"first breaks",
                {kBreak, Millis(400)},
                {kAnswer, Millis(200)},
@@ -336,6 +355,30 @@
   fixture.CheckReleased();
 }
 
+// Guards against a third attempt, and a hedge that nobody waits for any more.
+TEST_CASE("a call goes on with its hedge when its first upstream leaves") {
+  RawServer busy(RawServer::Queue::kFull);
+  HedgeFixture fixture;
+  fixture.node->registry().Remove(UpstreamId("u1"));
+  flow::UpstreamRecord record = busy.Record("u3");
+  fixture.node->registry().Upsert(record, fixture.loop.Now());
+  auto upstream = fixture.node->registry().Find(record.id);
+  auto caller = fixture.Call(EdgeFixture::Request("/again/", "r1"));
+  REQUIRE(fixture.RunUntil([&] { return upstream->own_load.running == 1; }));
+  fixture.Add("u2", {Reply::kAnswer, Millis(200)});
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.upstreams[1]->requests().size() == 1; }));
+  record.is_draining = true;
+  fixture.node->registry().Upsert(record, fixture.loop.Now());
+  CHECK(fixture.RunUntil([&] { return upstream->own_load.running == 0; }));
+  CHECK(caller->text().empty());
+  CHECK(fixture.RunUntil([&] { return !caller->text().empty(); }));
+  CHECK(caller->text().ends_with("u2"));
+  CHECK(fixture.Counted("hedges_total{event=\"sent\"}", 1));
+  CHECK(fixture.upstreams[1]->requests().size() == 1);
+  fixture.CheckReleased();
+}
+
 // Guards against hedges that would add to an overload, exceed a budget, or
 // repeat a call that must not run twice.
 TEST_CASE("a call is not hedged without permission") {
