Edge: calls above the token quota of their workspace are refused

Cause: the limiter of the quotas was not used.

Change: QuotaGuard sets its limits from each new desired state, decides in OnCall after the caller is identified (429 with Retry-After, before anything is sent), and takes back the charge of a call that ends as not-run. Heartbeats carry the use of limited workspaces in an appended element; earlier builds ignore it. In a region above 32 instances, each instance that sends no heartbeats reports its use to one dispatcher each second, which adds it to its own rows. Each instance begins its rounds of heartbeats to other regions at another place: in lockstep all would be heard within the same part of a round.

--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -17,6 +17,8 @@
   std::shared_ptr<const flow::Workspace> workspace;
   /// Whether the caller's own headers for key and workspace are removed.
   bool hides_identity = false;
+  /// What the call was charged to the quota of its workspace; 0 if it has none.
+  uint64_t charged_tokens = 0;
   ServiceName service;
   /// Version of the desired state that the route was taken from; 0 for a call
   /// from a peer.
--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -9,6 +9,7 @@
 #include "Core/Edge/edge_metrics.h"
 #include "Core/Edge/notice_recorder.h"
 #include "Core/Edge/poison_guard.h"
+#include "Core/Edge/quota_guard.h"
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
 #include "Core/Flow/fleet_retry_budget.h"
@@ -31,6 +32,7 @@
   ConnectionPool* peer_pool = nullptr;
   NoticeRecorder* notices = nullptr;
   PoisonGuard* poison_guard = nullptr;
+  QuotaGuard* quota_guard = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
   /// Called after a peer instance was excluded.
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -49,6 +49,16 @@
           .Help("Calls refused because a part of their prompt is blocked.")
           .Register(registry)
           .Add({});
+  prometheus::Family<prometheus::Counter>& quota_calls =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_quota_calls_total")
+          .Help("Calls of limited workspaces, by decision.")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& quota_tokens =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_quota_tokens_total")
+          .Help("Tokens of calls of limited workspaces, by decision.")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_store_calls_total")
@@ -139,6 +149,14 @@
 
 void EdgeMetrics::CountBlockedCall() { impl_->blocked_calls.Increment(); }
 
+void EdgeMetrics::CountQuota(std::string_view workspace,
+                             std::string_view decision, uint64_t tokens) {
+  prometheus::Labels labels = {{"workspace", std::string(workspace)},
+                               {"decision", std::string(decision)}};
+  impl_->quota_calls.Add(labels).Increment();
+  impl_->quota_tokens.Add(labels).Increment(static_cast<double>(tokens));
+}
+
 void EdgeMetrics::CountStoreCall(std::string_view kind, int status) {
   impl_->store_calls
       .Add({{"kind", std::string(kind)}, {"status", std::to_string(status)}})
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -30,6 +30,10 @@
   void CountUpstreamCrash();
   /// Counts a call that was refused because of a blocked prompt part.
   void CountBlockedCall();
+  /// Counts a call of a workspace with a token quota: `decision` is "admitted",
+  /// "refused", or "refunded" for an admitted one that was not run.
+  void CountQuota(std::string_view workspace, std::string_view decision,
+                  uint64_t tokens);
   void CountStoreCall(std::string_view kind, int status);
   void CountCrossRegionBytes(uint64_t bytes);
   /// Counts a change of what is known of an upstream's willingness: `change` is
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -69,6 +69,14 @@
                [this](const UpstreamId& id) { WithdrawUnsent(id); }),
       poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_,
                     [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
+      quota_guard_(
+          &fleet_, &dispatchers_, &metrics_, &random_,
+          settings_.silent_use_time,
+          [this](const flow::InstanceRecord& to, const std::string& bytes) {
+            if (auto endpoint = net::Endpoint::Parse(to.peer_address)) {
+              datagrams_->Send(*endpoint, bytes);
+            }
+          }),
       connections_(
           loop, &metrics_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
@@ -80,6 +88,9 @@
       heartbeat_timer_(loop),
       sweep_timer_(loop),
       drain_timer_(loop) {
+  // Instances that start together and go through the others in the same order
+  // would all be heard at the same moments of each round.
+  next_remote_ = Hash64(settings_.self.id.value()) % 1024;
   components_.loop = loop;
   components_.dialect = dialect;
   components_.registry = &registry_;
@@ -93,6 +104,7 @@
   components_.peer_pool = &peer_pool_;
   components_.notices = &notices_;
   components_.poison_guard = &poison_guard_;
+  components_.quota_guard = &quota_guard_;
   components_.metrics = &metrics_;
   components_.random = &random_;
   components_.region_round_trip = settings_.region_round_trip;
@@ -170,6 +182,7 @@
   metrics_.SetStateVersion(state->version());
   state_ = std::move(state);
   connections_.SetCallerLimits(CallerLimits());
+  quota_guard_.OnDesiredState(*state_, loop_->Now());
 }
 
 net::ServerLimits EdgeNode::CallerLimits() const {
@@ -206,6 +219,17 @@
   caller->EndResponse(keep);
 }
 
+void EdgeNode::RefuseOverQuota(const net::ServerConnection::Ptr& caller,
+                               const net::ServerRequest& request,
+                               Millis retry_after) {
+  // Not logged by call: a workspace may send many times its limit.
+  metrics_.CountCall("refused", 429);
+  bool keep = request.head.keep_alive && !caller->is_closing();
+  caller->Write(SerializeFailure(429, retry_after, /*failure=*/std::nullopt,
+                                 /*hop_lines=*/{}, keep));
+  caller->EndResponse(keep);
+}
+
 void EdgeNode::OnCall(const net::ServerConnection::Ptr& caller,
                       net::ServerRequest request) {
   auto params = components_.dialect->ParseCallHead(request.head);
@@ -244,6 +268,10 @@
     RejectRequest(caller, request, 503, "draining");
     return;
   }
+  if (auto wait = quota_guard_.Admit(*params, &context, loop_->Now())) {
+    RefuseOverQuota(caller, request, *wait);
+    return;
+  }
   context.target_left = route->target;
   context.state_version = state_->version();
   context.route = std::move(route);
@@ -367,6 +395,11 @@
     }
     return;
   }
+  auto use = IsUseDatagram(bytes) ? DecodeUseReport(bytes) : std::nullopt;
+  if (use) {
+    quota_guard_.OnFollowerReport(*use, loop_->Now());
+    return;
+  }
   auto heartbeat = DecodeHeartbeat(bytes);
   if (!heartbeat) {
     metrics_.CountInvalidDatagram();
@@ -378,6 +411,7 @@
     return;
   }
   poison_guard_.OnReport(heartbeat->poison);
+  quota_guard_.OnHeartbeat(*heartbeat, loop_->Now());
   if (heartbeat->from.region != settings_.self.region) {
     if (heartbeat->is_for_relay &&
         relayed_heartbeats_.size() < kMaxRelayedHeartbeats) {
@@ -391,6 +425,7 @@
     if (inner && inner->from.region != settings_.self.region &&
         fleet_.OnHeartbeat(*inner, loop_->Now())) {
       poison_guard_.OnReport(inner->poison);
+      quota_guard_.OnHeartbeat(*inner, loop_->Now());
     }
   }
   if (heartbeat->state_version > region_state_version_) {
@@ -454,6 +489,7 @@
   heartbeat.sequence = ++heartbeat_sequence_;
   heartbeat.state_version = state_ ? state_->version() : 0;
   heartbeat.poison = poison_guard_.MakeReport();
+  heartbeat.use = quota_guard_.Report(now);
   if (is_for_region) {
     heartbeat.cache_updates = registry_.TakeCacheUpdates();
     if (dispatchers_.is_exclusive()) {
@@ -667,6 +703,7 @@
     AllowsSend(*upstream);
   }
   registry_.Sweep(loop_->Now());
+  quota_guard_.Sweep(loop_->Now());
   metrics_.SetConnectionsOpened(upstream_pool_.opened(), peer_pool_.opened());
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
 }
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -28,6 +28,9 @@
   Micros region_round_trip{Millis(110)};
   /// Longest time from the start of a drain to the exit of the process.
   Millis stop_grace{8000};
+  /// How long an instance that no other one hears may go on to accept calls
+  /// that count against a quota.
+  Millis silent_use_time{60'000};
   uint64_t seed = 0;
 };
 
@@ -117,6 +120,9 @@
   void RejectRequest(const net::ServerConnection::Ptr& caller,
                      const net::ServerRequest& request, int status,
                      std::string_view reason);
+  /// Refuses a call that its workspace's quota does not allow now.
+  void RefuseOverQuota(const net::ServerConnection::Ptr& caller,
+                       const net::ServerRequest& request, Millis retry_after);
   void OnDatagram(std::string_view bytes);
   /// Forgets the load forwarded to upstreams that no other instance owns: no
   /// report would clear it.
@@ -164,6 +170,7 @@
   ConnectionPool peer_pool_;
   NoticeRecorder notices_;
   PoisonGuard poison_guard_;
+  QuotaGuard quota_guard_;
   EdgeComponents components_;
   std::unique_ptr<net::Listener> public_listener_;
   std::unique_ptr<net::Listener> peer_listener_;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -976,6 +976,9 @@
   deadline_timer_.Cancel();
   silence_timer_.Cancel();
   Instant now = components_->loop->Now();
+  if (outcome == "not-run") {
+    components_->quota_guard->OnNotRun(context_, now);
+  }
   components_->metrics->CountCall(outcome, status);
   components_->metrics->ObserveTotal(now - request_.arrived);
   LogCallEnd(
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -17,6 +17,10 @@
 constexpr size_t kLeavingIndex = 18;
 constexpr size_t kLimitIndex = 19;
 constexpr size_t kEraIndex = 20;
+constexpr size_t kUseIndex = 21;
+
+// Begins reports of use that are not part of a heartbeat.
+constexpr std::string_view kUseMagic = "BVU1";
 
 // Bounds what a datagram can add to the state of its receiver.
 constexpr size_t kMaxPoisonRows = 64;
@@ -131,6 +135,25 @@
   return report;
 }
 
+json EncodeUse(const std::vector<flow::UseRow>& rows) {
+  json encoded = json::array();
+  for (const flow::UseRow& it : rows) {
+    encoded.push_back({it.key.value(), it.admitted, it.offered});
+  }
+  return encoded;
+}
+
+std::vector<flow::UseRow> ReadUse(const json& encoded) {
+  std::vector<flow::UseRow> rows;
+  for (const json& it : encoded) {
+    if (rows.size() < flow::UseCounters::kMaxRows) {
+      rows.push_back({flow::UseKey(it.at(0).get<uint64_t>()),
+                      it.at(1).get<uint64_t>(), it.at(2).get<uint64_t>()});
+    }
+  }
+  return rows;
+}
+
 }  // namespace
 
 std::string EncodeHeartbeat(const flow::Heartbeat& heartbeat) {
@@ -194,7 +217,8 @@
               heartbeat.catalog_position.revision,
               heartbeat.catalog_age.count()};
   uint64_t era = heartbeat.catalog_position.era.value();
-  bool has_era = era > 0;
+  bool has_use = !heartbeat.use.empty();
+  bool has_era = era > 0 || has_use;
   bool has_limits = !limits.empty() || has_era;
   bool has_leaving = !leaving.empty() || has_limits;
   if (!heartbeat.poison.empty() || has_leaving) {
@@ -210,6 +234,9 @@
   if (has_era) {
     row.push_back(era);
   }
+  if (has_use) {
+    row.push_back(EncodeUse(heartbeat.use));
+  }
   std::string bytes;
   json::to_msgpack(row, bytes);
   return bytes;
@@ -270,6 +297,9 @@
       heartbeat.catalog_position.era =
           flow::CatalogEra(row.at(kEraIndex).get<uint64_t>());
     }
+    if (row.size() > kUseIndex) {
+      heartbeat.use = ReadUse(row.at(kUseIndex));
+    }
     return heartbeat;
   } catch (const json::exception&) {
     // Not a valid heartbeat; the caller counts and logs it.
@@ -277,4 +307,33 @@
   }
 }
 
+bool IsUseDatagram(std::string_view bytes) {
+  return bytes.starts_with(kUseMagic);
+}
+
+std::string EncodeUseReport(const flow::QuotaReport& report) {
+  json row = {report.from.value(), report.region.value(), report.incarnation,
+              report.sequence, EncodeUse(report.rows)};
+  std::string bytes;
+  json::to_msgpack(row, bytes);
+  return std::string(kUseMagic) + bytes;
+}
+
+std::optional<flow::QuotaReport> DecodeUseReport(std::string_view bytes) {
+  try {
+    bytes.remove_prefix(kUseMagic.size());
+    json row = json::from_msgpack(bytes.begin(), bytes.end());
+    flow::QuotaReport report;
+    report.from = InstanceId(row.at(0).get<std::string>());
+    report.region = RegionId(row.at(1).get<std::string>());
+    report.incarnation = row.at(2).get<uint64_t>();
+    report.sequence = row.at(3).get<uint64_t>();
+    report.rows = ReadUse(row.at(4));
+    return report;
+  } catch (const json::exception&) {
+    // Not a valid report; the caller counts and logs it.
+    return std::nullopt;
+  }
+}
+
 }  // namespace basilvalve::edge
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -11,6 +11,7 @@
 #include "Core/Flow/catalog_position.h"
 #include "Core/Flow/placement.h"
 #include "Core/Flow/poison_tracker.h"
+#include "Core/Flow/use_counters.h"
 
 namespace basilvalve::flow {
 
@@ -111,6 +112,8 @@
   std::vector<LimitReport> limits;
   /// Prompt parts that crash upstreams.
   PoisonReport poison;
+  /// What the sender used of limits that hold over all instances.
+  std::vector<UseRow> use;
 };
 
 /// Capacity of another region, from the most recent heartbeat of its instances.
--- a/Source/Core/Flow/quota_limiter.cc
+++ b/Source/Core/Flow/quota_limiter.cc
@@ -1,7 +1,7 @@
 #include "Core/Flow/quota_limiter.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace basilvalve::flow {
 namespace {
@@ -36,6 +36,9 @@
 // small workspace. Covered by the slack of the bound, which 80,000 exceeded in
 // simulated surges of calls of up to 60,000 tokens at a rate of 60,000.
 constexpr double kLargeCallTokens = 40'000;
+// An instance that reported to this one alone goes on to count for this long;
+// it does so each second.
+constexpr Seconds kFollowTime{5};
 // Limiting ends when no call was refused for this long.
 constexpr Seconds kLimitedTime{5};
 // A silent instance that is not written off is forgotten after this.
@@ -82,6 +85,9 @@
   if (group_share_ < 1 && (member.region != region_ || IsSilent(member, now))) {
     return false;
   }
+  if (!member.is_reporting) {
+    return member.followed_at && now - *member.followed_at < kFollowTime;
+  }
   return !IsWrittenOff(member, now);
 }
 
@@ -186,6 +192,10 @@
     if (is_new || !it.is_reporting || !member.is_reporting) {
       member.heard_at = now;
     }
+    if (it.is_reporting && !is_new && !member.is_reporting) {
+      member.awaits_baseline = true;
+      member.followed_at.reset();
+    }
     member.region = it.region;
     member.is_reporting = it.is_reporting;
     member.report_interval = it.report_interval;
@@ -201,15 +211,21 @@
   }
 }
 
-void QuotaLimiter::OnReport(const QuotaReport& report, Instant now) {
+void QuotaLimiter::OnReport(const QuotaReport& report, bool includes_own,
+                            Instant now) {
   if (report.from == self_) {
     return;
   }
   auto [at, is_new] = members_.try_emplace(report.from);
   Member& member = at->second;
+  if (!member.is_reporting) {
+    // Its use is passed on by another instance.
+    return;
+  }
   bool was_silent = !is_new && IsSilent(member, now);
   bool was_counted = is_new || IsCounted(member, now);
   bool is_baseline =
+      std::exchange(member.awaits_baseline, false) ||
       (!is_new && IsWrittenOff(member, now)) ||
       (!member.first_reported_at && now - started_at_ < kBaselineTime);
   // An instance whose rows are a baseline has had a demand that is not known.
@@ -233,14 +249,80 @@
   if (!was_counted || !IsCounted(member, now)) {
     return;
   }
+  if (includes_own) {
+    RemoveOwn(&increases);
+  }
+  Charge(report.from, increases, known_since, previous_at, now);
+}
+
+void QuotaLimiter::OnFollowerReport(const QuotaReport& report, Instant now) {
+  Member& member = members_[report.from];
+  if (report.incarnation == member.incarnation &&
+      report.sequence <= member.sequence) {
+    return;
+  }
+  member.incarnation = report.incarnation;
+  member.sequence = report.sequence;
+  // The use before it reported here was passed on by another instance.
+  bool is_baseline =
+      !member.followed_at || now - *member.followed_at > kFollowTime;
+  Instant previous_at = is_baseline ? now : *member.followed_at;
+  member.region = report.region;
+  member.is_reporting = false;
+  member.is_known = true;
+  member.heard_at = now;
+  member.followed_at = now;
+  std::map<UseKey, UseIncrease> increases =
+      member.reader.Read(report.incarnation, report.rows, is_baseline);
+  for (const auto& [key, use] : increases) {
+    if (limits_.contains(key)) {
+      own_use_.Add(key, static_cast<uint64_t>(use.admitted),
+                   static_cast<uint64_t>(use.offered), now);
+    }
+  }
+  Charge(report.from, increases, is_baseline ? now : started_at_, previous_at,
+         now);
+}
+
+std::vector<UseRow> QuotaLimiter::FollowerReport(bool is_first, Instant now) {
+  std::vector<UseRow> rows = own_use_.Report(now);
+  if (is_first) {
+    unreturned_use_.clear();
+  }
+  for (const auto& [key, use] : follower_reports_.Read(0, rows, is_first)) {
+    unreturned_use_[key].admitted += use.admitted;
+    unreturned_use_[key].offered += use.offered;
+  }
+  return rows;
+}
+
+void QuotaLimiter::RemoveOwn(std::map<UseKey, UseIncrease>* increases) {
+  for (auto& [key, use] : *increases) {
+    auto own = unreturned_use_.find(key);
+    if (own == unreturned_use_.end()) {
+      continue;
+    }
+    double admitted = std::min(use.admitted, own->second.admitted);
+    double offered = std::min(use.offered, own->second.offered);
+    use.admitted -= admitted;
+    use.offered -= offered;
+    own->second.admitted -= admitted;
+    own->second.offered -= offered;
+  }
+}
+
+void QuotaLimiter::Charge(const InstanceId& id,
+                          const std::map<UseKey, UseIncrease>& increases,
+                          Instant known_since, Instant previous_at,
+                          Instant now) {
   for (auto& [key, limit] : limits_) {
     auto increase = increases.find(key);
-    auto peer = limit.peers.find(report.from);
+    auto peer = limit.peers.find(id);
     if (peer == limit.peers.end()) {
       if (increase == increases.end()) {
         continue;
       }
-      peer = limit.peers.try_emplace(report.from).first;
+      peer = limit.peers.try_emplace(id).first;
       limit.bucket.AddPeer(&peer->second, known_since, previous_at, now);
     }
     UseIncrease use =
--- a/Source/Core/Flow/quota_limiter.h
+++ b/Source/Core/Flow/quota_limiter.h
@@ -31,6 +31,8 @@
   uint64_t incarnation = 0;
   /// Whether it is about to end, so that its silence means nothing.
   bool is_draining = false;
+  /// Order of the reports of one incarnation.
+  uint64_t sequence = 0;
   std::vector<UseRow> rows;
 };
 
@@ -65,8 +67,12 @@
   /// heard yet count, too. An instance that is missing goes on to count until
   /// it was silent for the silence time.
   void SetMembers(const std::vector<QuotaMember>& members, Instant now);
-  /// Applies the report of another instance.
-  void OnReport(const QuotaReport& report, Instant now);
+  /// Applies the report of another instance. With `includes_own`, the sender
+  /// passes on this instance's use, too.
+  void OnReport(const QuotaReport& report, bool includes_own, Instant now);
+  /// Applies the report of an instance that reports to this one alone, and
+  /// passes its use on as part of this instance's.
+  void OnFollowerReport(const QuotaReport& report, Instant now);
 
   /// Decides on an own call that costs `tokens`, and charges it if admitted.
   QuotaDecision Offer(const WorkspaceId& workspace, uint64_t tokens,
@@ -77,8 +83,13 @@
   bool HasLimit(const WorkspaceId& workspace) const {
     return limits_.contains(UseKeyOf(workspace));
   }
+  /// Whether any workspace has a limit.
+  bool HasLimits() const { return !limits_.empty(); }
   /// This instance's use, for the others.
   std::vector<UseRow> Report(Instant now) { return own_use_.Report(now); }
+  /// This instance's use, for the one that passes it on. `is_first`: whether
+  /// that one gets its first report, which it takes as a baseline.
+  std::vector<UseRow> FollowerReport(bool is_first, Instant now);
   /// Applies silences, and returns which workspaces began or ceased to be
   /// limited since the last call. Call it several times a second.
   std::vector<QuotaChange> Sweep(Instant now);
@@ -101,7 +112,14 @@
     bool is_reporting = true;
     bool is_known = true;
     bool is_draining = false;
+    /// Whether another instance passed on its use so far, so that its next
+    /// report is a baseline.
+    bool awaits_baseline = false;
     Micros report_interval{0};
+    /// When it last reported to this instance alone.
+    std::optional<Instant> followed_at;
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
     /// When its reports began; nullopt before the first one.
     std::optional<Instant> first_reported_at;
     Instant heard_at;
@@ -121,6 +139,13 @@
   bool IsCounted(const Member& member, Instant now) const;
   double GroupShare(Instant now) const;
   void UpdateGroup(Instant now);
+  /// Charges what a member used; `known_since` and `previous_at` describe its
+  /// earlier reports.
+  void Charge(const InstanceId& id,
+              const std::map<UseKey, UseIncrease>& increases,
+              Instant known_since, Instant previous_at, Instant now);
+  /// Takes this instance's own use out of what another one passed on.
+  void RemoveOwn(std::map<UseKey, UseIncrease>* increases);
   double BurstOf(const TokenQuota& quota) const;
   void ApplyQuota(Limit* limit, Instant now) const;
 
@@ -136,6 +161,9 @@
   std::map<RegionId, Region> regions_;
   std::map<UseKey, Limit> limits_;
   UseCounters own_use_;
+  // Own use that was given to the one that passes it on, and has not come back.
+  UseReader follower_reports_;
+  std::map<UseKey, UseIncrease> unreturned_use_;
 };
 
 }  // namespace basilvalve::flow
--- a/Source/Core/Flow/use_counters.cc
+++ b/Source/Core/Flow/use_counters.cc
@@ -1,6 +1,7 @@
 #include "Core/Flow/use_counters.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Core/Common/hash.h"
 
@@ -9,6 +10,8 @@
 
 // A key without use for this long is left out of reports.
 constexpr Seconds kRowRetention{10};
+// Time constant of the use by which rows are chosen if there are too many.
+constexpr double kRecentSeconds = 4;
 
 }  // namespace
 
@@ -16,6 +19,12 @@
   return UseKey(Hash64(workspace.value()) >> 32);
 }
 
+double UseCounters::RecentUse(const Counter& counter, Instant now) {
+  double seconds =
+      static_cast<double>((now - counter.last_used_at).count()) / 1e6;
+  return counter.recent * std::exp(-seconds / kRecentSeconds);
+}
+
 void UseCounters::Add(UseKey key, uint64_t admitted, uint64_t offered,
                       Instant now) {
   Counter& counter = counters_[key];
@@ -24,6 +33,7 @@
   counter.unsettled_refund -= settled;
   counter.row.admitted += admitted - settled;
   counter.row.offered += offered;
+  counter.recent = RecentUse(counter, now) + static_cast<double>(offered);
   counter.last_used_at = now;
 }
 
@@ -38,19 +48,22 @@
   std::erase_if(counters_, [&](const auto& entry) {
     return now - entry.second.last_used_at > kRowRetention;
   });
-  std::vector<UseRow> rows;
-  for (const auto& [key, counter] : counters_) {
-    rows.push_back(counter.row);
+  std::vector<Counter*> counters;
+  for (auto& [key, counter] : counters_) {
+    counters.push_back(&counter);
   }
-  std::stable_sort(rows.begin(), rows.end(),
-                   [](const UseRow& left, const UseRow& right) {
-                     return left.offered > right.offered;
+  std::stable_sort(counters.begin(), counters.end(),
+                   [&](const Counter* left, const Counter* right) {
+                     return RecentUse(*left, now) > RecentUse(*right, now);
                    });
-  while (rows.size() > kMaxRows) {
-    // Receivers forget a row that is left out, so it has to start at zero.
-    UseRow& row = counters_.at(rows.back().key).row;
-    row.admitted = row.offered = 0;
-    rows.pop_back();
+  std::vector<UseRow> rows;
+  for (Counter* counter : counters) {
+    if (rows.size() < kMaxRows) {
+      rows.push_back(counter->row);
+    } else {
+      // Receivers forget a row that is left out, so it has to start at zero.
+      counter->row.admitted = counter->row.offered = 0;
+    }
   }
   return rows;
 }
--- a/Source/Core/Flow/use_counters.h
+++ b/Source/Core/Flow/use_counters.h
@@ -40,16 +40,20 @@
   /// never shrink.
   void Refund(UseKey key, uint64_t units);
   /// The rows of the next report: keys with use in the last 10 s, those with
-  /// the most units offered first.
+  /// the most units offered recently first.
   std::vector<UseRow> Report(Instant now);
 
  private:
   struct Counter {
     UseRow row;
     uint64_t unsettled_refund = 0;
+    /// Offered units, decayed; as of `last_used_at`.
+    double recent = 0;
     Instant last_used_at;
   };
 
+  static double RecentUse(const Counter& counter, Instant now);
+
   std::map<UseKey, Counter> counters_;
 };
 
--- a/Source/UnitTests/Core/Flow/quota_limiter_test.cc
+++ b/Source/UnitTests/Core/Flow/quota_limiter_test.cc
@@ -1,5 +1,6 @@
 #include "Core/Flow/quota_limiter.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <deque>
@@ -193,8 +194,8 @@
     }
     node.next_near = now + NearInterval();
     node.limiter->Sweep(now);
-    QuotaReport report{Id(i), Region(i), node.incarnation, false,
-                       node.limiter->Report(now)};
+    QuotaReport report{Id(i), Region(i), node.incarnation,
+                       false, 0,         node.limiter->Report(now)};
     for (int k = 0; k < Size(); ++k) {
       if (RegionOf(k) == RegionOf(i)) {
         Send(i, k, report, now, at);
@@ -215,7 +216,8 @@
     while (!queue_.empty() && queue_.front().at <= now) {
       std::pop_heap(queue_.begin(), queue_.end());
       const Datagram& it = queue_.back();
-      nodes_[static_cast<size_t>(it.to)].limiter->OnReport(it.report, now);
+      nodes_[static_cast<size_t>(it.to)].limiter->OnReport(it.report, false,
+                                                           now);
       queue_.pop_back();
     }
   }
@@ -355,6 +357,35 @@
   CHECK_FALSE(ended[0].is_limited);
 }
 
+// Guards against use in a large region that is charged twice or never: only
+// dispatchers send heartbeats there, and pass on the use of the others.
+TEST_CASE("a dispatcher passes on the use of an instance that reports to it") {
+  OneLimiter dispatcher;
+  OneLimiter follower;
+  OneLimiter other;
+  const RegionId region("r");
+  Instant now = kStart;
+  auto exchange = [&](bool is_first) {
+    now += Seconds(1);
+    dispatcher->OnFollowerReport(
+        {InstanceId("f"), region, 1, false,
+         static_cast<uint64_t>(now.time_since_epoch().count()),
+         follower->FollowerReport(is_first, now)},
+        now);
+    QuotaReport report{InstanceId("d"), region, 1,
+                       false,           0,      dispatcher->Report(now)};
+    other->OnReport(report, false, now);
+    follower->OnReport(report, true, now);
+  };
+  exchange(true);
+  REQUIRE(follower->Offer(kHot, 90'000, now).is_admitted);
+  exchange(false);
+  CHECK_FALSE(other->Offer(kHot, 1, now).is_admitted);
+  CHECK_FALSE(dispatcher->Offer(kHot, 1, now).is_admitted);
+  // The follower has not been charged again.
+  CHECK(follower->Offer(kHot, 1, now + Seconds(30)).is_admitted);
+}
+
 // Guards against charging what another instance used before this one started,
 // and against not charging a restarted one.
 TEST_CASE("counters of other instances count from the right start") {
@@ -383,7 +414,12 @@
   REQUIRE(rows.size() == 64);
   CHECK(rows[0].offered == 100);
   CHECK(rows[63].offered == 37);
-  CHECK(counters.Report(kStart + Seconds(11)).empty());
+  // A row that was left out starts at zero, and its new use counts at once.
+  counters.Add(UseKey(1), 50, 50, kStart + Seconds(1));
+  rows = counters.Report(kStart + Seconds(1));
+  CHECK(std::find(rows.begin(), rows.end(), UseRow{UseKey(1), 50, 50}) !=
+        rows.end());
+  CHECK(counters.Report(kStart + Seconds(12)).empty());
 }
 
 }  // namespace
