--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -9,6 +9,7 @@
 #include "Core/Edge/edge_metrics.h"
 #include "Core/Edge/notice_recorder.h"
 #include "Core/Edge/poison_guard.h"
+#include "Core/Edge/quota_guard.h"
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
 #include "Core/Flow/fleet_retry_budget.h"
@@ -34,6 +35,7 @@
   NoticeRecorder* notices = nullptr;
   PoisonGuard* poison_guard = nullptr;
   HedgePlanner* hedges = nullptr;
+  QuotaGuard* quota_guard = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
   /// Called after a peer instance was excluded.
--- a/Source/Core/Edge/heartbeat_codec.cc
+++ b/Source/Core/Edge/heartbeat_codec.cc
@@ -17,9 +17,12 @@
 constexpr size_t kLeavingIndex = 18;
 constexpr size_t kLimitIndex = 19;
 constexpr size_t kEraIndex = 20;
-// Element 21 is null in heartbeats that have this one but not that.
+constexpr size_t kUseIndex = 21;
 constexpr size_t kHedgesIndex = 22;
 
+// Begins reports of use that are not part of a heartbeat.
+constexpr std::string_view kUseMagic = "BVU1";
+
 // Bounds what a datagram can add to the state of its receiver.
 constexpr size_t kMaxPoisonRows = 64;
 constexpr size_t kMaxHedgeRows = 64;
@@ -155,6 +158,25 @@
   return report;
 }
 
+json EncodeUse(const std::vector<flow::UseRow>& rows) {
+  json encoded = json::array();
+  for (const flow::UseRow& it : rows) {
+    encoded.push_back({it.key.value(), it.admitted, it.offered});
+  }
+  return encoded;
+}
+
+std::vector<flow::UseRow> ReadUse(const json& encoded) {
+  std::vector<flow::UseRow> rows;
+  for (const json& it : encoded) {
+    if (rows.size() < flow::UseCounters::kMaxRows) {
+      rows.push_back({flow::UseKey(it.at(0).get<uint64_t>()),
+                      it.at(1).get<uint64_t>(), it.at(2).get<uint64_t>()});
+    }
+  }
+  return rows;
+}
+
 }  // namespace
 
 std::string EncodeHeartbeat(const flow::Heartbeat& heartbeat) {
@@ -219,7 +241,8 @@
               heartbeat.catalog_age.count()};
   uint64_t era = heartbeat.catalog_position.era.value();
   bool has_hedges = !heartbeat.hedges.empty();
-  bool has_era = era > 0 || has_hedges;
+  bool has_use = !heartbeat.use.empty() || has_hedges;
+  bool has_era = era > 0 || has_use;
   bool has_limits = !limits.empty() || has_era;
   bool has_leaving = !leaving.empty() || has_limits;
   if (!heartbeat.poison.empty() || has_leaving) {
@@ -235,8 +258,10 @@
   if (has_era) {
     row.push_back(era);
   }
+  if (has_use) {
+    row.push_back(EncodeUse(heartbeat.use));
+  }
   if (has_hedges) {
-    row.push_back(nullptr);
     row.push_back(EncodeHedges(heartbeat.hedges));
   }
   std::string bytes;
@@ -299,6 +324,9 @@
       heartbeat.catalog_position.era =
           flow::CatalogEra(row.at(kEraIndex).get<uint64_t>());
     }
+    if (row.size() > kUseIndex) {
+      heartbeat.use = ReadUse(row.at(kUseIndex));
+    }
     if (row.size() > kHedgesIndex) {
       heartbeat.hedges = ReadHedges(row.at(kHedgesIndex));
     }
@@ -309,4 +337,33 @@
   }
 }
 
+bool IsUseDatagram(std::string_view bytes) {
+  return bytes.starts_with(kUseMagic);
+}
+
+std::string EncodeUseReport(const flow::QuotaReport& report) {
+  json row = {report.from.value(), report.region.value(), report.incarnation,
+              report.sequence, EncodeUse(report.rows)};
+  std::string bytes;
+  json::to_msgpack(row, bytes);
+  return std::string(kUseMagic) + bytes;
+}
+
+std::optional<flow::QuotaReport> DecodeUseReport(std::string_view bytes) {
+  try {
+    bytes.remove_prefix(kUseMagic.size());
+    json row = json::from_msgpack(bytes.begin(), bytes.end());
+    flow::QuotaReport report;
+    report.from = InstanceId(row.at(0).get<std::string>());
+    report.region = RegionId(row.at(1).get<std::string>());
+    report.incarnation = row.at(2).get<uint64_t>();
+    report.sequence = row.at(3).get<uint64_t>();
+    report.rows = ReadUse(row.at(4));
+    return report;
+  } catch (const json::exception&) {
+    // Not a valid report; the caller counts and logs it.
+    return std::nullopt;
+  }
+}
+
 }  // namespace basilvalve::edge
--- a/Source/Core/Flow/fleet_view.h
+++ b/Source/Core/Flow/fleet_view.h
@@ -12,6 +12,7 @@
 #include "Core/Flow/hedge_budget.h"
 #include "Core/Flow/placement.h"
 #include "Core/Flow/poison_tracker.h"
+#include "Core/Flow/use_counters.h"
 
 namespace basilvalve::flow {
 
@@ -115,6 +116,8 @@
   HedgeReport hedges;
   /// Prompt parts that crash upstreams.
   PoisonReport poison;
+  /// What the sender used of limits that hold over all instances.
+  std::vector<UseRow> use;
 };
 
 /// Capacity of another region, from the most recent heartbeat of its instances.
