Tests: clients and upstreams that take a gateway over its memory and descriptors

Cause: nothing bounds what all connections of a process hold together, so a few clients with unfinished bodies, bodies far over the limit, slow heads or unread responses, or an upstream whose responses do not end, take the process over the memory and the descriptors of its machine.

--- a/Source/BasilvalveProcessSoak/gateway_fleet.cc
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.cc
@@ -79,8 +79,8 @@
 }  // namespace
 
 bool GatewayFleet::Create(const std::map<std::string, std::string>& regions,
-                          const std::vector<std::string>& zones,
-                          uint64_t seed) {
+                          const std::vector<std::string>& zones, uint64_t seed,
+                          const MachineLimits& limits) {
   char name[] = "/tmp/basilvalve-process-soak-XXXXXX";
   folder_ = mkdtemp(name);
   bool is_served =
@@ -113,6 +113,7 @@
     Gateway& gateway = gateways_[i];
     GatewayPlace& place = gateway.place;
     place.zone = zones[i];
+    place.limits = limits;
     place.name = "edge-" + zones[i] + "-" + std::to_string(++numbers[zones[i]]);
     place.ip = net + std::to_string(101 + i);
     place.front = kFrontPort;
--- a/Source/BasilvalveProcessSoak/gateway_fleet.h
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.h
@@ -37,7 +37,8 @@
 
   /// `regions`: data centre to region; one gateway for each entry of `zones`.
   bool Create(const std::map<std::string, std::string>& regions,
-              const std::vector<std::string>& zones, uint64_t seed);
+              const std::vector<std::string>& zones, uint64_t seed,
+              const MachineLimits& limits = {});
   bool StartAll(int ready_timeout_ms);
   void Signal(size_t i, int number);
   /// A gateway that has not been disturbed lately and has another version of
--- a/Source/UnitTests/Platform/Soak/platform_words.cc
+++ b/Source/UnitTests/Platform/Soak/platform_words.cc
@@ -49,7 +49,7 @@
 std::string SettingsText(const GatewayPlace& place,
                          const std::map<std::string, std::string>& regions) {
   auto at = [&](int port) { return place.ip + ":" + std::to_string(port); };
-  return json{{"node", place.name},
+  json settings{{"node", place.name},
               {"role", "gateway"},
               {"machine_class", "edge"},
               {"serves", {"edge", "directory"}},
@@ -81,8 +81,12 @@
                 {"reads_per_s", 2000},
                 {"history_s", 20},
                 {"value_bytes", 1048576},
-                {"ttl_min_ms", 1000}}}}
-      .dump();
+                {"ttl_min_ms", 1000}}}};
+  if (place.limits.memory_mb > 0) {
+    settings["limits"] = {{"memory_mb", place.limits.memory_mb},
+                          {"max_fds", place.limits.max_fds}};
+  }
+  return settings.dump();
 }
 
 std::string SettingsVariable(const std::string& path) {
--- a/Source/UnitTests/Platform/Soak/platform_words.h
+++ b/Source/UnitTests/Platform/Soak/platform_words.h
@@ -14,6 +14,12 @@
 inline constexpr const char* kTokensField = "x-token-usage";
 inline constexpr const char* kLastEventField = "last-event-id";
 
+/// What a gateway may use of its machine; zero: not in its settings.
+struct MachineLimits {
+  int memory_mb = 0;
+  int max_fds = 0;
+};
+
 struct GatewayPlace {
   std::string name;
   std::string zone;
@@ -21,6 +27,7 @@
   int front = 0;
   int internal = 0;
   int store = 0;
+  MachineLimits limits;
 };
 
 struct UpstreamEntry {
