Budgets of memory and connections for all connections of an instance

Cause: every connection had limits of its own, and nothing bounded their sum.

Change: net::MemoryBudget and net::ConnectionBudget, whose sizes follow from limits.memory_mb and limits.max_fds of the settings file (256 and 4096 if absent). Requests of callers take 60% of the memory at most, counted while they are read and, with the copy for an upstream, while their call is in flight; responses are counted while they are buffered or not written. One eighth is kept for small reservations. When memory is low, the callers' large unfinished requests give way, stalled ones first with 408, then the newest with 503; callers that do not read a response are disconnected. When descriptors are low, the longest idle connection is closed, else the new one. Behind a refusal, 256 KiB are discarded at most. A response whose stated length is over the limit is given up at its head, and the body of a response that is never passed on is not kept. The kernel's buffers of callers' connections are bounded, and the allocator returns large blocks at once. Where bytes are taken, the budget costs an addition and a comparison.

--- a/Source/Core/Edge/attempt.h
+++ b/Source/Core/Edge/attempt.h
@@ -61,7 +61,15 @@
   /// For a call forwarded within the region: the upstream it was meant for.
   UpstreamId suggested_upstream;
   net::MessageHead head;
+  /// Body bytes that were received; `body` keeps them only if they are used.
+  size_t body_bytes = 0;
   std::string body;
+  net::MemoryReservation body_memory;
+
+  /// Whether a response with this head may be passed on. Not thread safe.
+  bool IsUsable() const {
+    return !not_run_proof && !is_unverified && !peer_outcome;
+  }
 
   /// Starts an attempt on the chosen upstream: adds the attempt's load and
   /// notifies the breaker and the send limiter. Not thread safe.
--- a/Source/Core/Edge/connection_pool.cc
+++ b/Source/Core/Edge/connection_pool.cc
@@ -51,8 +51,13 @@
 
 ConnectionPool::Ptr ConnectionPool::Open(const net::Endpoint& to) {
   ++opened_;
+  if (budgets_.connections != nullptr && !budgets_.connections->has_room()) {
+    while (!idle_.empty()) {
+      CloseIdle(net::Endpoint(idle_.begin()->first));
+    }
+  }
   return net::ClientConnection::Open(loop_, to, settings_.connect_timeout,
-                                     settings_.unacked_timeout);
+                                     settings_.unacked_timeout, budgets_);
 }
 
 void ConnectionPool::Put(const net::Endpoint& to, Ptr connection) {
--- a/Source/Core/Edge/connection_pool.h
+++ b/Source/Core/Edge/connection_pool.h
@@ -25,8 +25,9 @@
  public:
   using Ptr = std::shared_ptr<net::ClientConnection>;
 
-  ConnectionPool(net::EventLoop* loop, const PoolSettings& settings)
-      : loop_(loop), settings_(settings) {}
+  ConnectionPool(net::EventLoop* loop, const PoolSettings& settings,
+                 net::ConnectionBudgets budgets = {})
+      : loop_(loop), settings_(settings), budgets_(std::move(budgets)) {}
 
   /// Returns an idle connection or opens a new one. A call that must not be
   /// sent twice (`is_non_retryable_call`) only gets an idle connection that
@@ -34,7 +35,8 @@
   /// connection that has carried it. Not thread safe.
   Ptr Take(const net::Endpoint& to, bool is_non_retryable_call,
            std::optional<net::RequestKey> key);
-  /// Opens a new connection. Not thread safe.
+  /// Opens a new connection. If there is no room for it, closes the idle ones.
+  /// Not thread safe.
   Ptr Open(const net::Endpoint& to);
   /// Returns a connection after its response; closes it if it is not reusable
   /// or the pool is full.
@@ -52,6 +54,7 @@
 
   net::EventLoop* loop_;
   PoolSettings settings_;
+  net::ConnectionBudgets budgets_;
   std::map<net::Endpoint, std::vector<Ptr>> idle_;
   uint64_t opened_ = 0;
 };
--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -33,6 +33,7 @@
   PoisonGuard* poison_guard = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
+  net::MemoryBudget::Ptr memory;
   /// Called after a peer instance was excluded.
   std::function<void()> on_peer_unreachable;
   /// Network round-trip time to another region.
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -101,6 +101,21 @@
           .Name("basilvalve_edge_connections_opened")
           .Help("Connections opened since the start.")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& shed =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_shed_total")
+          .Help("Requests and connections ended to keep the machine's limits.")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& buffered_bytes =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_buffered_bytes")
+          .Help("Bytes of the memory budget in use.")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& open_connections =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_connections_open")
+          .Help("Connections of the budget in use.")
+          .Register(registry);
   prometheus::Gauge& state_version =
       prometheus::BuildGauge()
           .Name("basilvalve_edge_state_version")
@@ -179,6 +194,22 @@
   impl_->connections.Add({{"to", "peers"}}).Set(static_cast<double>(peers));
 }
 
+void EdgeMetrics::CountShed(std::string_view reason) {
+  impl_->shed.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void EdgeMetrics::SetResources(uint64_t request_bytes, uint64_t other_bytes,
+                               uint64_t caller_connections,
+                               uint64_t other_connections) {
+  auto set = [](auto& family, const char* of, uint64_t value) {
+    family.Add({{"of", of}}).Set(static_cast<double>(value));
+  };
+  set(impl_->buffered_bytes, "requests", request_bytes);
+  set(impl_->buffered_bytes, "other", other_bytes);
+  set(impl_->open_connections, "callers", caller_connections);
+  set(impl_->open_connections, "other", other_connections);
+}
+
 void EdgeMetrics::SetStateVersion(uint64_t version) {
   impl_->state_version.Set(static_cast<double>(version));
 }
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -46,6 +46,12 @@
   /// written, and of requests that were read and discarded.
   void CountBytesLost(uint64_t unwritten, uint64_t discarded);
   void SetConnectionsOpened(uint64_t upstreams, uint64_t peers);
+  /// Counts a connection or request that was ended to keep the limits of the
+  /// machine.
+  void CountShed(std::string_view reason);
+  /// Sets the bytes that connections buffer and the number of connections.
+  void SetResources(uint64_t request_bytes, uint64_t other_bytes,
+                    uint64_t caller_connections, uint64_t other_connections);
   void SetStateVersion(uint64_t version);
   /// All metrics in the Prometheus text exposition format.
   std::string Text() const;
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -46,6 +46,9 @@
 // Time to write the failures of the calls that the end of a drain cuts.
 constexpr Millis kLastWritesTime{100};
 constexpr Millis kStartupRetryAfter{300};
+// Unread requests and unsent responses count as memory of the machine, too.
+// 128 KB in flight carry 4 MiB in 0.3 s at a round trip of 10 ms.
+constexpr net::StreamBuffers kCallerStreamBuffers{128 * 1024, 128 * 1024};
 
 }  // namespace
 
@@ -53,6 +56,10 @@
                    const CallDialect* dialect)
     : loop_(loop),
       settings_(std::move(settings)),
+      budgets_{
+          std::make_shared<net::MemoryBudget>(settings_.machine.BufferBytes()),
+          std::make_shared<net::ConnectionBudget>(
+              settings_.machine.Connections())},
       random_(settings_.seed),
       registry_(settings_.self.region),
       placer_(&registry_, this,
@@ -62,14 +69,14 @@
       retry_budget_(settings_.retries),
       fleet_(settings_.self),
       dispatchers_(settings_.self, loop->Now()),
-      upstream_pool_(loop, settings_.upstream_connections),
-      peer_pool_(loop, settings_.peer_connections),
+      upstream_pool_(loop, settings_.upstream_connections, budgets_),
+      peer_pool_(loop, settings_.peer_connections, budgets_),
       notices_(&registry_, &metrics_,
                [this](const UpstreamId& id) { WithdrawUnsent(id); }),
       poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_,
                     [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
       connections_(
-          loop, &metrics_,
+          loop, &metrics_, budgets_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
                  net::ServerRequest request) {
             side == ConnectionSide::kPeer
@@ -94,6 +101,7 @@
   components_.poison_guard = &poison_guard_;
   components_.metrics = &metrics_;
   components_.random = &random_;
+  components_.memory = budgets_.memory;
   components_.region_round_trip = settings_.region_round_trip;
 }
 
@@ -112,9 +120,11 @@
 
 std::optional<Error> EdgeNode::Open() {
   auto public_listener = net::Listener::Create(
-      loop_, settings_.public_address, kUnackedTimeout, [this](auto socket) {
+      loop_, settings_.public_address, kUnackedTimeout,
+      [this](auto socket) {
         connections_.Accept(ConnectionSide::kCaller, std::move(socket));
-      });
+      },
+      kCallerStreamBuffers);
   if (!public_listener) {
     return public_listener.error();
   }
@@ -648,6 +658,10 @@
   }
   registry_.Sweep(loop_->Now());
   metrics_.SetConnectionsOpened(upstream_pool_.opened(), peer_pool_.opened());
+  size_t requests = budgets_.memory->used_by_callers();
+  metrics_.SetResources(requests, budgets_.memory->used() - requests,
+                        connections_.callers(),
+                        budgets_.connections->used() - connections_.callers());
   sweep_timer_.Set(kSweepInterval, [this] { Sweep(); });
 }
 
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -10,6 +10,7 @@
 #include "Core/Edge/accepted_connections.h"
 #include "Core/Edge/catalog_codec.h"
 #include "Core/Edge/exchange.h"
+#include "Core/Edge/machine_limits.h"
 
 namespace basilvalve::edge {
 
@@ -28,6 +29,7 @@
   Micros region_round_trip{Millis(110)};
   /// Longest time from the start of a drain to the exit of the process.
   Millis stop_grace{8000};
+  MachineLimits machine;
   uint64_t seed = 0;
 };
 
@@ -151,6 +153,7 @@
 
   net::EventLoop* loop_;
   EdgeSettings settings_;
+  net::ConnectionBudgets budgets_;
   Random random_;
   EdgeMetrics metrics_;
   std::shared_ptr<const flow::DesiredState> state_;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -38,6 +38,10 @@
 constexpr size_t kMaxSizedBodyBytes = size_t{16} * 1024 * 1024;
 constexpr size_t kMaxUnsizedBodyBytes = size_t{1024} * 1024;
 
+// A larger body is written without a copy, a smaller one together with its
+// head.
+constexpr size_t kMinOwnedBytes = size_t{64} * 1024;
+
 size_t MaxBufferedBytes(const net::MessageHead& head) {
   return head.content_length ? kMaxSizedBodyBytes : kMaxUnsizedBodyBytes;
 }
@@ -51,6 +55,7 @@
     : components_(components),
       caller_(std::move(caller)),
       request_(std::move(request)),
+      request_memory_(caller_->TakeRequestMemory()),
       params_(std::move(params)),
       context_(std::move(context)),
       on_ended_(std::move(on_ended)),
@@ -261,6 +266,7 @@
   // However the last attempt ended, this one starts at an event boundary.
   splitter_.DropPartial();
   attempt_.events_before = splitter_.events();
+  attempt_.body_memory = net::MemoryReservation(components_->memory);
   ++progress_.sends;
   runs_.OnAttempt();
   attempt_.connection->Send(std::move(bytes), this, Key());
@@ -334,6 +340,9 @@
   if (!IsStream() && !attempt_.has_first_byte) {
     OnFirstByte();
   }
+  if (head.content_length > kMaxSizedBodyBytes && !IsStreamForwarded()) {
+    AbandonResponse("response_too_large");
+  }
   return true;
 }
 
@@ -433,19 +442,28 @@
   } else if (attempt_.region != components_->fleet->self().region) {
     components_->metrics->CountCrossRegionBytes(bytes.size());
   }
-  bool is_forwarded = IsStream() && attempt_.head.status == 200 &&
-                      !attempt_.not_run_proof && !attempt_.is_unverified &&
-                      !attempt_.peer_outcome;
-  if (is_forwarded) {
+  if (IsStreamForwarded()) {
     ForwardStream(bytes);
     return;
   }
-  if (attempt_.body.size() + bytes.size() > MaxBufferedBytes(attempt_.head)) {
+  attempt_.last_event_at = components_->loop->Now();
+  attempt_.body_bytes += bytes.size();
+  if (attempt_.body_bytes > MaxBufferedBytes(attempt_.head)) {
     AbandonResponse("response_too_large");
     return;
   }
+  if (!attempt_.IsUsable()) {
+    return;
+  }
+  if (!attempt_.body_memory.TryResize(attempt_.body_bytes)) {
+    AbandonResponse("memory_low");
+    return;
+  }
+  if (attempt_.body.empty() && attempt_.head.content_length) {
+    // A string that grows is copied into one of twice the size.
+    attempt_.body.reserve(*attempt_.head.content_length);
+  }
   attempt_.body.append(bytes);
-  attempt_.last_event_at = components_->loop->Now();
 }
 
 void Exchange::AbandonResponse(std::string_view reason) {
@@ -615,12 +633,20 @@
 
 void Exchange::ForwardResponse() {
   bool keep = KeepsAlive();
-  std::string_view body;
+  std::string body;
   if (request_.head.method != "HEAD") {
-    body = attempt_.body;
+    body = std::move(attempt_.body);
+  }
+  // From here on, the caller's connection holds the bytes.
+  attempt_.body_memory.Release();
+  std::string head = SerializeSizedHead(attempt_.head, *components_->dialect,
+                                        HopLines(), body.size(), keep);
+  if (body.size() < kMinOwnedBytes) {
+    caller_->Write(head.append(body));
+  } else {
+    caller_->Write(head);
+    caller_->WriteOwned(std::move(body));
   }
-  caller_->Write(SerializeResponse(attempt_.head, *components_->dialect,
-                                   HopLines(), body, keep));
   caller_->EndResponse(keep);
   Finish("done", attempt_.head.status, "answered");
 }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -91,6 +91,10 @@
   void OnMayHaveCrashed(std::string_view reason);
   /// Whether a response that broke off may have been cut by a crash.
   bool MayHaveCrashed() const;
+  /// Whether the attempt's response is passed on as it arrives.
+  bool IsStreamForwarded() const {
+    return IsStream() && attempt_.head.status == 200 && attempt_.IsUsable();
+  }
   void ForwardStream(std::string_view bytes);
   /// Writes a part of the stream to the caller; an empty one ends it.
   void WriteChunk(std::string_view bytes);
@@ -149,6 +153,7 @@
   EdgeComponents* components_;
   net::ServerConnection::Ptr caller_;
   net::ServerRequest request_;
+  net::MemoryReservation request_memory_;
   CallParams params_;
   CallContext context_;
   EndedFn on_ended_;
--- a/Source/Core/Edge/message_serializer.cc
+++ b/Source/Core/Edge/message_serializer.cc
@@ -114,13 +114,22 @@
   return out;
 }
 
+std::string SerializeSizedHead(const net::MessageHead& head,
+                               const CallDialect& dialect,
+                               std::string_view hop_lines, size_t body_bytes,
+                               bool keep_alive) {
+  std::string out = SerializeResponseHead(head, dialect, hop_lines);
+  AppendHeader("Content-Length", std::to_string(body_bytes), &out);
+  EndHead(keep_alive, &out);
+  return out;
+}
+
 std::string SerializeResponse(const net::MessageHead& head,
                               const CallDialect& dialect,
                               std::string_view hop_lines, std::string_view body,
                               bool keep_alive) {
-  std::string out = SerializeResponseHead(head, dialect, hop_lines);
-  AppendHeader("Content-Length", std::to_string(body.size()), &out);
-  EndHead(keep_alive, &out);
+  std::string out =
+      SerializeSizedHead(head, dialect, hop_lines, body.size(), keep_alive);
   out.append(body);
   return out;
 }
--- a/Source/Core/Edge/message_serializer.h
+++ b/Source/Core/Edge/message_serializer.h
@@ -26,6 +26,11 @@
 std::string SerializeResponseHead(const net::MessageHead& head,
                                   const CallDialect& dialect,
                                   std::string_view hop_lines);
+/// Head of a response whose body has a known size. Thread safe.
+std::string SerializeSizedHead(const net::MessageHead& head,
+                               const CallDialect& dialect,
+                               std::string_view hop_lines, size_t body_bytes,
+                               bool keep_alive);
 /// A complete response with Content-Length. Thread safe.
 std::string SerializeResponse(const net::MessageHead& head,
                               const CallDialect& dialect,
--- a/Source/Core/Net/client_connection.cc
+++ b/Source/Core/Net/client_connection.cc
@@ -20,18 +20,29 @@
 
 }  // namespace
 
-ClientConnection::ClientConnection(EventLoop* loop)
+ClientConnection::ClientConnection(EventLoop* loop, MemoryBudget::Ptr memory)
     : loop_(loop),
       connect_timer_(loop),
-      parser_(MessageParser::Kind::kResponse, kMaxHeaderBytes, kMaxBodyBytes) {}
+      parser_(MessageParser::Kind::kResponse, kMaxHeaderBytes, kMaxBodyBytes),
+      unparsed_memory_(std::move(memory)) {}
 
 ClientConnection::~ClientConnection() = default;
 
 std::shared_ptr<ClientConnection> ClientConnection::Open(
     EventLoop* loop, const Endpoint& to, Millis connect_timeout,
-    Millis unacked_timeout) {
-  auto self = std::shared_ptr<ClientConnection>(new ClientConnection(loop));
+    Millis unacked_timeout, ConnectionBudgets budgets) {
+  auto self = std::shared_ptr<ClientConnection>(
+      new ClientConnection(loop, std::move(budgets.memory)));
   std::weak_ptr<ClientConnection> weak = self;
+  if (budgets.connections != nullptr && !budgets.connections->has_room()) {
+    loop->Post([weak] {
+      if (auto it = weak.lock()) {
+        it->OnConnected(false);
+      }
+    });
+    return self;
+  }
+  self->slot_ = ConnectionSlot(std::move(budgets.connections));
   self->socket_ =
       Socket::Connect(loop, to, unacked_timeout, [weak](bool connected) {
         if (auto it = weak.lock()) {
@@ -54,7 +65,7 @@
   connect_timer_.Cancel();
   auto on_connect = std::exchange(on_connect_, nullptr);
   if (!connected) {
-    bool is_refused = socket_->is_refused();
+    bool is_refused = socket_ != nullptr && socket_->is_refused();
     FailRequest(ClientError::kConnectFailed);
     if (on_connect) {
       on_connect(is_refused ? ConnectResult::kRefused : ConnectResult::kFailed);
@@ -195,6 +206,9 @@
   }
   unparsed_.append(buf.data(), got.bytes);
   ParseResponse();
+  if (!unparsed_memory_.TryResize(unparsed_.size()) && !closed_) {
+    FailRequest(ClientError::kMalformedResponse);
+  }
   if (!closed_ && !paused_) {
     WaitForBytes();
   }
@@ -336,6 +350,9 @@
   if (socket_) {
     socket_->Close();
   }
+  slot_.Release();
+  std::string().swap(unparsed_);
+  unparsed_memory_.Release();
 }
 
 }  // namespace basilvalve::net
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "Core/Common/strong_id.h"
+#include "Core/Net/connection_budget.h"
+#include "Core/Net/memory_budget.h"
 #include "Core/Net/message.h"
 #include "Core/Net/socket.h"
 #include "Core/Net/write_buffer.h"
@@ -52,16 +54,24 @@
   virtual void OnError(ClientError error) = 0;
 };
 
+/// What the connections of a process may take together; no limit where a
+/// pointer is nullptr.
+struct ConnectionBudgets {
+  MemoryBudget::Ptr memory;
+  ConnectionBudget::Ptr connections;
+};
+
 /// A persistent connection. Not thread safe.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   /// Starts to connect. `connect_timeout` bounds the connection attempt;
-  /// `unacked_timeout` bounds how long sent data may stay unacknowledged. Not
-  /// thread safe.
+  /// `unacked_timeout` bounds how long sent data may stay unacknowledged.
+  /// Without room in `budgets`, the attempt fails. Not thread safe.
   static std::shared_ptr<ClientConnection> Open(EventLoop* loop,
                                                 const Endpoint& to,
                                                 Millis connect_timeout,
-                                                Millis unacked_timeout);
+                                                Millis unacked_timeout,
+                                                ConnectionBudgets budgets = {});
   ~ClientConnection();
 
   /// Sends a request, once the connection is established. Pre: is_idle();
@@ -114,7 +124,7 @@
   Millis server_keep_alive() const { return server_keep_alive_; }
 
  private:
-  explicit ClientConnection(EventLoop* loop);
+  ClientConnection(EventLoop* loop, MemoryBudget::Ptr memory);
   void OnConnected(bool connected);
   /// Flush for the first bytes of a request.
   void FlushRequest();
@@ -132,6 +142,8 @@
   MessageParser parser_;
   ClientObserver* observer_ = nullptr;
   std::function<void(ConnectResult)> on_connect_;
+  ConnectionSlot slot_;
+  MemoryReservation unparsed_memory_;
   std::string unparsed_;
   WriteBuffer write_buffer_;
   // Bytes written by earlier requests on this connection.
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "Core/Net/memory_budget.h"
 #include "Core/Net/message.h"
 #include "Core/Net/socket.h"
 #include "Core/Net/write_buffer.h"
@@ -44,6 +45,21 @@
   bool any() const { return unwritten > 0 || discarded > 0; }
 };
 
+/// A request that a connection has received in part.
+struct UnfinishedRequest {
+  /// Bytes that it takes; zero if there is none.
+  size_t bytes = 0;
+  Instant began;
+  Instant last_read;
+};
+
+/// A response that a connection has not written completely.
+struct UnwrittenResponse {
+  /// Bytes that it takes; zero if there is none.
+  size_t bytes = 0;
+  Instant last_written;
+};
+
 /// Reads requests and writes their responses in order. The owner holds it until
 /// `on_closed` is called. Not thread safe.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -54,7 +70,8 @@
 
   ServerConnection(EventLoop* loop, std::unique_ptr<Socket> socket,
                    ServerLimits limits, RequestHandler on_request,
-                   ClosedFn on_closed);
+                   ClosedFn on_closed, MemoryBudget::Ptr memory = nullptr,
+                   MemoryUse request_use = MemoryUse::kCallerRequests);
   ~ServerConnection();
 
   /// Starts reading. Call once. Not thread safe.
@@ -72,6 +89,12 @@
   /// Writes bytes of the current response, including its head and framing. Not
   /// thread safe.
   void Write(std::string_view bytes);
+  /// Write, without a copy of a large part. Not thread safe.
+  void WriteOwned(std::string bytes);
+  /// Passes the memory of the current request on to its handler. Otherwise it
+  /// is given back when the response is complete. Pre: the request was
+  /// delivered. Not thread safe.
+  MemoryReservation TakeRequestMemory();
   /// Completes the current response. Reads the next request or, if the response
   /// did not promise `keep_alive`, closes the connection once everything is
   /// written. Not thread safe.
@@ -105,6 +128,20 @@
   LostBytes lost_bytes() const;
   /// Whether the other side closed or broke the connection. Not thread safe.
   bool is_closed_by_peer() const { return closed_by_peer_; }
+  /// Not thread safe.
+  UnfinishedRequest unfinished_request() const;
+  /// Not thread safe.
+  UnwrittenResponse unwritten_response() const;
+  /// Ends a request that was received in part with this status, to make room
+  /// for others; nothing of it ran. Not thread safe.
+  void EvictRequest(int status);
+  /// Whether there is neither a request nor a response under way. Not thread
+  /// safe.
+  bool IsIdle() const {
+    return !busy() && !terminated_ && !half_closed_ && write_buffer_.empty();
+  }
+  /// When the connection was accepted or last became idle. Not thread safe.
+  Instant idle_since() const { return idle_since_; }
   /// Whether the write buffer exceeds its high watermark, so that the producer
   /// should pause. Not thread safe.
   bool is_write_buffer_full() const;
@@ -123,10 +160,18 @@
   void CloseIdle();
   void Terminate(bool peer_disconnected);
   void StartIdleTimer();
-  /// Whether there is neither a request nor a response under way.
-  bool IsIdle() const {
-    return !busy() && !terminated_ && !half_closed_ && write_buffer_.empty();
-  }
+  /// Reserves the memory of the request that is being read, whose body takes
+  /// `body_copies` times its size. If there is none, refuses the request and
+  /// returns false.
+  bool ReserveRequest(size_t body_copies);
+  /// Drops what was read of the request, and its memory.
+  void DropRequest();
+  /// Writes or keeps what was appended to the write buffer.
+  void FlushAppended();
+  /// Gives memory back that the write buffer takes no longer.
+  void ShrinkResponseMemory();
+  /// Ends the connection from the loop.
+  void PostTerminate();
 
   EventLoop* loop_;
   std::unique_ptr<Socket> socket_;
@@ -137,10 +182,24 @@
   std::function<void()> on_writable_;
   MessageParser parser_;
   Timer timer_;
+  MemoryBudget::Ptr memory_;
+  MemoryUse request_use_;
+  // Of the request that is being read or handled, and of pipelined input.
+  MemoryReservation request_memory_;
+  MemoryReservation response_memory_;
+  size_t head_bytes_ = 0;
+  Instant request_began_;
+  Instant last_read_;
+  Instant last_written_;
+  Instant idle_since_;
+  // Input that was discarded after the last response.
+  size_t lingered_bytes_ = 0;
   std::string unparsed_;
   std::string body_;
   WriteBuffer write_buffer_;
   size_t discarded_bytes_ = 0;
+  // Of a response that did not fit into the memory budget.
+  size_t dropped_bytes_ = 0;
   bool handling_ = false;
   bool parsing_ = false;
   bool head_parsed_ = false;
@@ -149,6 +208,8 @@
   bool half_closed_ = false;
   bool waiting_writable_ = false;
   bool terminated_ = false;
+  // Part of the response was dropped; the connection ends from the loop.
+  bool is_broken_ = false;
   bool closed_by_peer_ = false;
 };
 
--- a/Source/Core/Net/socket.cc
+++ b/Source/Core/Net/socket.cc
@@ -21,6 +21,8 @@
 // Connections that can wait to be accepted when a burst of callers connects
 // while the loop is busy.
 constexpr int kListenBacklog = 1024;
+// An accept that fails, as without a free descriptor, would fail again at once.
+constexpr Millis kAcceptRetryTime{50};
 
 Result<asio::ip::address> ParseAddress(const std::string& host) {
   error_code ec;
@@ -228,6 +230,7 @@
   Impl(EventLoop* event_loop, Millis timeout)
       : loop(event_loop),
         acceptor(event_loop->impl().context),
+        retry_timer(event_loop),
         unacked_timeout(timeout) {}
 
   void Accept() {
@@ -236,17 +239,25 @@
           if (!self->on_accept) {
             return;
           }
-          if (!ec) {
-            ConfigureStream(&socket, self->unacked_timeout);
-            self->on_accept(std::make_unique<Socket>(
-                std::make_shared<Socket::Impl>(std::move(socket))));
+          if (ec) {
+            self->retry_timer.Set(kAcceptRetryTime,
+                                  [weak = self->weak_from_this()] {
+                                    if (auto it = weak.lock()) {
+                                      it->Accept();
+                                    }
+                                  });
+            return;
           }
+          ConfigureStream(&socket, self->unacked_timeout);
+          self->on_accept(std::make_unique<Socket>(
+              std::make_shared<Socket::Impl>(std::move(socket))));
           self->Accept();
         });
   }
 
   EventLoop* loop;
   tcp::acceptor acceptor;
+  Timer retry_timer;
   Millis unacked_timeout;
   std::function<void(std::unique_ptr<Socket>)> on_accept;
 };
@@ -261,7 +272,8 @@
 
 Result<std::unique_ptr<Listener>> Listener::Create(
     EventLoop* loop, const Endpoint& at, Millis unacked_timeout,
-    std::function<void(std::unique_ptr<Socket>)> on_accept) {
+    std::function<void(std::unique_ptr<Socket>)> on_accept,
+    const StreamBuffers& buffers) {
   auto address = ParseAddress(at.host);
   if (!address) {
     return tl::make_unexpected(address.error());
@@ -271,6 +283,16 @@
   error_code ec;
   impl->acceptor.open(tcp::v4(), ec);
   impl->acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (buffers.receive_bytes > 0) {
+    // Accepted streams inherit it. A receive buffer of a fixed size would also
+    // count the kernel's overhead and drop packets on links with a large MTU.
+    setsockopt(impl->acceptor.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP,
+               &buffers.receive_bytes, sizeof(buffers.receive_bytes));
+  }
+  if (buffers.unsent_bytes > 0) {
+    setsockopt(impl->acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &buffers.unsent_bytes, sizeof(buffers.unsent_bytes));
+  }
   impl->acceptor.bind(tcp::endpoint(*address, at.port), ec);
   if (!ec) {
     impl->acceptor.listen(kListenBacklog, ec);
--- a/Source/Core/Net/socket.h
+++ b/Source/Core/Net/socket.h
@@ -76,6 +76,14 @@
   std::shared_ptr<Impl> impl_;
 };
 
+/// Limits on what the kernel buffers for one accepted stream; zero: its own.
+struct StreamBuffers {
+  /// Bytes that were received and not read.
+  int receive_bytes = 0;
+  /// Bytes that were written and not sent yet.
+  int unsent_bytes = 0;
+};
+
 /// Accepts TCP streams. Not thread safe.
 class Listener {
  public:
@@ -84,7 +92,8 @@
   /// address cannot be bound. Not thread safe.
   static Result<std::unique_ptr<Listener>> Create(
       EventLoop* loop, const Endpoint& at, Millis unacked_timeout,
-      std::function<void(std::unique_ptr<Socket>)> on_accept);
+      std::function<void(std::unique_ptr<Socket>)> on_accept,
+      const StreamBuffers& buffers = {});
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
