--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -12,6 +12,7 @@
 #include "Core/Edge/exchange.h"
 #include "Core/Edge/freshness_monitor.h"
 #include "Core/Edge/hedge_planner.h"
+#include "Core/Edge/machine_limits.h"
 
 namespace basilvalve::edge {
 
@@ -36,6 +37,7 @@
   /// How long an instance that no other one hears may go on to accept calls
   /// that count against a quota.
   Millis silent_use_time{60'000};
+  MachineLimits machine;
   uint64_t seed = 0;
   /// Longest time after which a key that the newest desired state lacks is
   /// still accepted; nullopt: no limit.
@@ -170,6 +172,7 @@
 
   net::EventLoop* loop_;
   EdgeSettings settings_;
+  net::ConnectionBudgets budgets_;
   Random random_;
   EdgeMetrics metrics_;
   std::shared_ptr<const flow::DesiredState> state_;
