--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -76,7 +76,6 @@
                [this](const UpstreamId& id) { WithdrawUnsent(id); }),
       poison_guard_(loop, &upstream_pool_, &registry_, &fleet_, &metrics_,
                     [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
-      hedges_(&components_, settings_.hedge_share),
       quota_guard_(
           &fleet_, &dispatchers_, &metrics_, &random_,
           settings_.silent_use_time,
@@ -85,6 +84,7 @@
               datagrams_->Send(*endpoint, bytes);
             }
           }),
+      hedges_(&components_, settings_.hedge_share),
       connections_(
           loop, &metrics_, budgets_,
           [this](ConnectionSide side, const net::ServerConnection::Ptr& caller,
