--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -47,6 +47,9 @@
 // Time to write the failures of the calls that the end of a drain cuts.
 constexpr Millis kLastWritesTime{100};
 constexpr Millis kStartupRetryAfter{300};
+// How long an instance that is not heard is assumed to accept calls of a
+// workspace, if no limit for revocations ends that.
+constexpr Millis kSilentUseTime{60'000};
 
 }  // namespace
 
@@ -71,7 +74,7 @@
                     [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
       quota_guard_(
           &fleet_, &dispatchers_, &metrics_, &random_,
-          settings_.silent_use_time,
+          settings_.revocation_limit.value_or(kSilentUseTime),
           [this](const flow::InstanceRecord& to, const std::string& bytes) {
             if (auto endpoint = net::Endpoint::Parse(to.peer_address)) {
               datagrams_->Send(*endpoint, bytes);
@@ -87,7 +90,8 @@
           }),
       heartbeat_timer_(loop),
       sweep_timer_(loop),
-      drain_timer_(loop) {
+      drain_timer_(loop),
+      freshness_(loop, &metrics_, settings_.revocation_limit) {
   // Instances that start together and go through the others in the same order
   // would all be heard at the same moments of each round.
   next_remote_ = Hash64(settings_.self.id.value()) % 1024;
@@ -248,9 +252,13 @@
     RejectRequest(caller, request, 404, "no matching route");
     return;
   }
-  CallerIdentity identity = IdentifyCaller(*state_, *route, params->key);
-  if (!identity.is_accepted) {
-    RejectRequest(caller, request, 401, "unknown or missing key");
+  CallerIdentity identity =
+      IdentifyCaller(*state_, *route, params->key, freshness_.IsFresh());
+  if (identity.verdict != IdentityVerdict::kAccepted) {
+    bool is_stale = identity.verdict == IdentityVerdict::kStaleState;
+    RejectRequest(
+        caller, request, is_stale ? 503 : 401,
+        is_stale ? "desired state is stale" : "unknown or missing key");
     return;
   }
   CallContext context;
@@ -372,9 +380,16 @@
          loop_->Now() - region_state_seen_at_ > kStateVersionGrace;
 }
 
-void EdgeNode::SetCatalogPosition(const flow::CatalogPosition& position) {
+void EdgeNode::SetCatalogPosition(const flow::CatalogPosition& position,
+                                  Instant known_at) {
   catalog_position_ = position;
-  catalog_confirmed_at_ = loop_->Now();
+  catalog_confirmed_at_ = known_at;
+}
+
+void EdgeNode::OnStateConfirmed(Instant known_at) {
+  if (state_ != nullptr && region_state_version_ <= state_->version()) {
+    freshness_.OnConfirmed(known_at);
+  }
 }
 
 void EdgeNode::BroadcastCatalogChanges(const CatalogChanges& changes) {
@@ -388,6 +403,7 @@
 }
 
 void EdgeNode::OnDatagram(std::string_view bytes) {
+  freshness_.OnDatagram();
   if (IsCatalogDatagram(bytes)) {
     auto changes = DecodeCatalogChanges(bytes);
     if (changes && catalog_handlers_.on_changes) {
@@ -433,7 +449,7 @@
     region_state_seen_at_ = loop_->Now();
   }
   if (heartbeat->catalog_position.revision > 0 &&
-      catalog_handlers_.on_confirmed) {
+      catalog_handlers_.on_confirmed && !freshness_.MayDatagramsBeOld()) {
     catalog_handlers_.on_confirmed(heartbeat->catalog_position,
                                    loop_->Now() - heartbeat->catalog_age);
   }
--- a/Source/Core/Flow/quota_limiter.cc
+++ b/Source/Core/Flow/quota_limiter.cc
@@ -127,7 +127,8 @@
   bool is_changed = share != group_share_;
   bool is_cut_off = group_share_ == 1 && share < 1;
   group_share_ = share;
-  for (auto& [key, limit] : limits_) {
+  for (auto& [key, changed] : limits_) {
+    Limit& limit = changed;
     std::erase_if(limit.peers, [&](auto& entry) {
       auto member = members_.find(entry.first);
       if (member != members_.end() && IsCounted(member->second, now)) {
