Tests: a heartbeat's element of a later version follows the use of quotas

Cause: the test appended its unknown element at the index that now holds the use of quotas, so "a heartbeat's poison report round-trips" failed. Measured: the test failed before and passes now.

--- a/Source/UnitTests/Core/Edge/poison_test.cc
+++ b/Source/UnitTests/Core/Edge/poison_test.cc
@@ -243,11 +243,12 @@
   CHECK(verdict.time_left == Seconds(50));
   CHECK(verdict.probes == 1);
   CHECK(verdict.idle == Millis(12));
-  // An element of a later version is ignored; the three before it are known.
+  // An element of a later version is ignored; the four before it are known.
   auto row = nlohmann::json::from_msgpack(bytes);
   row.push_back(nlohmann::json::array());
   row.push_back(nlohmann::json::array());
   row.push_back(7);
+  row.push_back(nlohmann::json::array());
   row.push_back("later");
   std::string later;
   nlohmann::json::to_msgpack(row, later);
--- a/Source/UnitTests/Core/Edge/quota_test.cc
+++ b/Source/UnitTests/Core/Edge/quota_test.cc
@@ -102,7 +102,6 @@
   send(500'000);
   CHECK(fixture.Respond("Key: k\r\nTokens: 5\r\n").starts_with("HTTP/1.1 200"));
   send(560'000);
-  std::string text;
   REQUIRE(fixture.RunUntil([&] {
     return fixture.Respond("Key: k\r\nTokens: 5\r\n")
         .starts_with("HTTP/1.1 429");
--- a/Source/UnitTests/Core/Flow/quota_limiter_test.cc
+++ b/Source/UnitTests/Core/Flow/quota_limiter_test.cc
@@ -99,7 +99,7 @@
       }
       window.push_back(admitted);
       sum += admitted;
-      if (window.size() > kWindowSeconds * 100) {
+      if (window.size() > static_cast<size_t>(kWindowSeconds * 100)) {
         sum -= window.front();
         window.pop_front();
       }
