--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -50,6 +50,9 @@
 // Unread requests and unsent responses count as memory of the machine, too.
 // 128 KB in flight carry 4 MiB in 0.3 s at a round trip of 10 ms.
 constexpr net::StreamBuffers kCallerStreamBuffers{128 * 1024, 128 * 1024};
+// How long an instance that is not heard is assumed to accept calls of a
+// workspace, if no limit for revocations ends that.
+constexpr Millis kSilentUseTime{60'000};
 
 }  // namespace
 
@@ -78,7 +81,7 @@
                     [this](flow::PromptPartId part) { WithdrawBlocked(part); }),
       quota_guard_(
           &fleet_, &dispatchers_, &metrics_, &random_,
-          settings_.silent_use_time,
+          settings_.revocation_limit.value_or(kSilentUseTime),
           [this](const flow::InstanceRecord& to, const std::string& bytes) {
             if (auto endpoint = net::Endpoint::Parse(to.peer_address)) {
               datagrams_->Send(*endpoint, bytes);
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -34,9 +34,6 @@
   Micros region_round_trip{Millis(110)};
   /// Longest time from the start of a drain to the exit of the process.
   Millis stop_grace{8000};
-  /// How long an instance that no other one hears may go on to accept calls
-  /// that count against a quota.
-  Millis silent_use_time{60'000};
   MachineLimits machine;
   uint64_t seed = 0;
   /// Longest time after which a key that the newest desired state lacks is
