Tests: a hedge refused after a refusal, with the pause of a full upstream

Cause: an upstream that refused a plain call as full gets no plain call until a slot should be free, so the test's second call did not reach it. Change: the test waits for the end of that pause, which is shorter than the time for which a refusal forbids hedges. Its checks are the same. Result: the test failed on the merged code and passes now.

--- a/Source/UnitTests/Core/Edge/hedge_test.cc
+++ b/Source/UnitTests/Core/Edge/hedge_test.cc
@@ -444,6 +444,8 @@
   fixture.behaviours["u1"] = {Reply::kRefusal, Millis(0)};
   auto refused = fixture.Call(EdgeFixture::Request("/again/", "r0"));
   REQUIRE(fixture.RunUntil([&] { return !refused->text().empty(); }));
+  // The pause of the upstream, which refused the call as full, ends first.
+  fixture.RunFor(Millis(500));
   auto caller = fixture.Begin({Reply::kAnswer, Millis(500)}, kNever);
   CHECK(fixture.RunUntil([&] { return !caller->text().empty(); }));
   CHECK(fixture.Counted("hedges_refused_total{reason=\"recent_refusal\"}", 1));
