Quotas: a limit without a unit counts requests

Cause: the platform's limits count requests unless their unit is tokens; a row with another unit rejected the whole desired state. Change: TokenQuota::counts_calls; the allowance for large calls applies to token limits alone. Result: two tests, for decoding and for the burst of such a limit.

--- a/Source/Core/Edge/quota_guard.cc
+++ b/Source/Core/Edge/quota_guard.cc
@@ -24,6 +24,9 @@
 constexpr Millis kRelayedHeartbeatInterval{1000};
 
 uint64_t TokensOf(const flow::TokenQuota& quota, const flow::CallSize& size) {
+  if (quota.counts_calls) {
+    return 1;
+  }
   uint64_t stated = uint64_t{size.tokens_in} + size.tokens_out;
   return stated > 0 ? stated : quota.plain_call_tokens;
 }
--- a/Source/Core/Flow/quota_limiter.cc
+++ b/Source/Core/Flow/quota_limiter.cc
@@ -107,7 +107,8 @@
 }
 
 double QuotaLimiter::BurstOf(const TokenQuota& quota) const {
-  return (quota.burst_tokens + kLargeCallTokens) * group_share_;
+  double allowance = quota.counts_calls ? 0 : kLargeCallTokens;
+  return (quota.burst_tokens + allowance) * group_share_;
 }
 
 void QuotaLimiter::ApplyQuota(Limit* limit, Instant now) const {
--- a/Source/Core/Flow/workspace.h
+++ b/Source/Core/Flow/workspace.h
@@ -29,6 +29,8 @@
   double burst_tokens = 0;
   /// Tokens that a call without stated sizes counts as.
   uint32_t plain_call_tokens = 0;
+  /// Whether each call counts as one unit, whatever its tokens.
+  bool counts_calls = false;
 };
 
 /// One workspace of a desired state.
--- a/Source/UnitTests/Core/Flow/quota_limiter_test.cc
+++ b/Source/UnitTests/Core/Flow/quota_limiter_test.cc
@@ -340,6 +340,22 @@
   CHECK(limiter->Report(kStart).empty());
 }
 
+// Guards against the allowance for large calls, in tokens, where a quota counts
+// calls.
+TEST_CASE("a quota of calls admits its burst at most") {
+  OneLimiter limiter;
+  Workspace workspace;
+  workspace.name = kHot;
+  workspace.quota = TokenQuota{5, 10, 0, /*counts_calls=*/true};
+  limiter->SetLimits({std::make_shared<const Workspace>(workspace)}, kStart);
+  int admitted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    admitted += limiter->Offer(kHot, 1, kStart).is_admitted ? 1 : 0;
+  }
+  CHECK(admitted > 0);
+  CHECK(admitted <= 10);
+}
+
 // Guards against a limiter that goes on to refuse after refunds, and one that
 // tells no time to retry.
 TEST_CASE("a refused call is told when to retry and a refund readmits") {
--- a/Source/UnitTests/Platform/workspace_records_test.cc
+++ b/Source/UnitTests/Platform/workspace_records_test.cc
@@ -30,6 +30,7 @@
   CHECK(workspace->quota->tokens_per_second == 1337083);
   CHECK(workspace->quota->burst_tokens == 2000000);
   CHECK(workspace->quota->plain_call_tokens == 200);
+  CHECK_FALSE(workspace->quota->counts_calls);
   CHECK(workspace->Permits(RegionId("north")));
   CHECK_FALSE(workspace->Permits(RegionId("south")));
   REQUIRE((*state)->workspaces().size() == 2);
@@ -42,6 +43,20 @@
   CHECK_FALSE((*plain)->Match("h", "/")->is_anonymous);
 }
 
+// Guards against a limit on calls that is read as one on tokens.
+TEST_CASE("a quota without a unit counts calls") {
+  for (const char* unit : {"", R"(,"unit":"requests")"}) {
+    auto state = DecodeDesiredState(
+        StateWith(R"([{"name":"a","api_keys":["k"],"rate_per_s":5)" +
+                  std::string(unit) + "}]"));
+    REQUIRE(state);
+    auto workspace = (*state)->Authenticate("k");
+    REQUIRE(workspace);
+    REQUIRE(workspace->quota);
+    CHECK(workspace->quota->counts_calls);
+  }
+}
+
 // Guards against a desired state that is applied in part, and against keys in
 // the log, which gets the error.
 TEST_CASE(
