Admission: the rank of a call is its route's priority again; lint

The linter found three places in the merged code. Change: RankOf is the route's priority; engines still order by workspace.

--- a/Source/BasilvalveProcessSoak/client_load.cc
+++ b/Source/BasilvalveProcessSoak/client_load.cc
@@ -20,7 +20,7 @@
 // Clients that were cut off come back this often.
 constexpr int kRounds = 2;
 constexpr size_t kMaxBodyBytes = size_t{4} * 1024 * 1024;
-constexpr size_t kUnfinishedBytes = kMaxBodyBytes - 16 * 1024;
+constexpr size_t kUnfinishedBytes = kMaxBodyBytes - size_t{16} * 1024;
 constexpr size_t kFarOverLimit = 16 * kMaxBodyBytes;
 constexpr size_t kLargeChunk = size_t{64} * 1024;
 constexpr size_t kMaxHeadBytes = 16'000;
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -13,8 +13,6 @@
 // Of calls with a workspace, three workspace priorities with three route
 // priorities each fill the urgencies 0 to 8; all lower ones share the last.
 constexpr int kWorkspaceUrgencies = 3;
-// More than route priorities in use, so that ranks order by workspace first.
-constexpr int kRanksPerWorkspacePriority = 1000;
 // For streams: shorter than an interval between events that callers notice,
 // longer than a long engine step.
 constexpr Millis kStreamSilenceTimeout{650};
@@ -106,16 +104,7 @@
                       std::clamp(route, 0, kWorkspaceUrgencies - 1));
 }
 
-int RankOf(const CallContext& context) {
-  int route = context.route->priority;
-  if (context.workspace == nullptr) {
-    return route;
-  }
-  int workspace =
-      std::clamp(context.workspace->priority, 0, flow::kMaxWorkspacePriority);
-  return kRanksPerWorkspacePriority * workspace +
-         std::clamp(route, 0, kRanksPerWorkspacePriority - 1);
-}
+int RankOf(const CallContext& context) { return context.route->priority; }
 
 Millis SilenceTimeout(const flow::Route& route, bool has_started) {
   if (route.kind == flow::CallKind::kStream) {
--- a/Source/Core/Edge/call_planner.h
+++ b/Source/Core/Edge/call_planner.h
@@ -77,8 +77,9 @@
 /// Thread safe.
 int UrgencyOf(const CallContext& context);
 
-/// Rank of the call in admission, in the same order; 0 is the most urgent.
-/// Thread safe.
+/// Rank of the call in admission: the route's priority. Engines order calls by
+/// workspace; a share of capacity that admission withheld from the others would
+/// stay unused. Thread safe.
 int RankOf(const CallContext& context);
 
 /// How long an upstream may send nothing before a call of the route is retried
--- a/Source/Core/Flow/dispatch_policy.h
+++ b/Source/Core/Flow/dispatch_policy.h
@@ -16,7 +16,7 @@
   double tokens_to_prefill = 0;
   /// Expected output length.
   double output_tokens = 0;
-  /// Priority of the call, by workspace and route; 0 is the most urgent.
+  /// The route's priority; 0 is the most urgent.
   int rank = 0;
   /// Longest time per generated token at which calls of every rank still finish
   /// within their time limits, in microseconds; 0 if unknown.
--- a/Source/Core/Net/memory_budget.h
+++ b/Source/Core/Net/memory_budget.h
@@ -79,9 +79,9 @@
       : budget_(std::move(budget)), use_(use) {}
   ~MemoryReservation() { Release(); }
   MemoryReservation(MemoryReservation&& other) noexcept
-      : budget_(other.budget_),
-        use_(other.use_),
-        bytes_(std::exchange(other.bytes_, 0)) {}
+      : MemoryReservation(other.budget_, other.use_) {
+    bytes_ = std::exchange(other.bytes_, 0);
+  }
   MemoryReservation& operator=(MemoryReservation&& other) noexcept {
     if (this != &other) {
       Release();
--- a/Source/Core/Net/write_buffer.cc
+++ b/Source/Core/Net/write_buffer.cc
@@ -19,7 +19,8 @@
 }
 
 IoStatus WriteBuffer::WriteTo(Socket* socket) {
-  std::string_view rest = std::string_view(bytes_).substr(offset_);
+  std::string_view rest = bytes_;
+  rest.remove_prefix(offset_);
   IoStatus status = IoStatus::kDone;
   while (!rest.empty() && status == IoStatus::kDone) {
     IoResult result = socket->Write(rest);
