Tests: a stub that answers when all calls of a round have arrived

Cause: "idle connections that have ended say nothing about upstreams" failed under load: its stub answered a call before the round's last call was sent. That call went over the same kept connection and waited behind an answer that the stub had not ended (trace: 6 sends, 5 connections). Since service times are learned, the last call goes to the upstream that has answered, so it shows only now. Change: the stub answers once all six have arrived, so that each call has its own connection, as the test assumes. Conclusion: the product loses no call here; the test had a race.

--- a/Source/UnitTests/Core/Edge/foreign_response_test.cc
+++ b/Source/UnitTests/Core/Edge/foreign_response_test.cc
@@ -184,10 +184,20 @@
   EdgeFixture fixture;
   fixture.ApplyDesiredState();
   std::vector<Caller> waiting;
+  std::vector<std::string> responses;
+  // Responds once all calls of a round have arrived, so that each of them has a
+  // connection of its own: an earlier response would let a later call wait
+  // behind it on the same connection.
   auto script = [&](const Caller& caller, const Request& request) {
-    caller->Write(Upstream::Response(request, 200, "done"));
+    responses.push_back(Upstream::Response(request, 200, "done"));
     waiting.push_back(caller);
   };
+  auto respond = [&] {
+    for (size_t i = 0; i < waiting.size(); ++i) {
+      waiting[i]->Write(responses[i]);
+    }
+    responses.clear();
+  };
   std::vector<flow::UpstreamRegistry::Ptr> known;
   for (const char* id : {"u1", "u2", "u3"}) {
     fixture.AddUpstream(id, script);
@@ -200,6 +210,7 @@
           "/once/", "r" + std::to_string(round) + "-" + std::to_string(i))));
     }
     REQUIRE(fixture.RunUntil([&] { return waiting.size() == 6; }));
+    respond();
     for (const auto& caller : callers) {
       REQUIRE(
           fixture.RunUntil([&] { return Contains(caller->text(), "done"); }));
@@ -215,6 +226,7 @@
     }
     waiting.clear();
     REQUIRE(fixture.RunUntil([&] { return waiting.size() == 1; }));
+    respond();
     waiting[0]->EndResponse(true);
     REQUIRE(fixture.RunUntil([&] {
       return Contains(callers[0]->text(), "Call-Id: s" + std::to_string(round));
