--- a/Source/BasilvalveProcessSoak/gateway_fleet.cc
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.cc
@@ -21,8 +21,6 @@
 
 constexpr int kInternalPort = 23'000;
 constexpr int kPeerOffset = 8;
-// As the gateway has it.
-constexpr int kMetricsPort = 9464;
 constexpr int kFrontPort = 24'000;
 constexpr int64_t kRestartMs = 500;
 constexpr int64_t kGraceMs = 8000;
--- a/Source/BasilvalveProcessSoak/gateway_fleet.h
+++ b/Source/BasilvalveProcessSoak/gateway_fleet.h
@@ -18,6 +18,9 @@
 
 namespace basilvalve::process_soak {
 
+/// As the gateway has it.
+inline constexpr int kMetricsPort = 9464;
+
 /// The gateways' processes, each with proxies in front of its public address,
 /// its peer address and the store. Restarts processes that ended. Thread safe.
 class GatewayFleet {
@@ -55,6 +58,7 @@
   std::string OwnerOf(int local_port, int remote_port);
   /// The vector does not change after Create.
   std::vector<Gateway>& gateways() { return gateways_; }
+  const std::vector<Gateway>& gateways() const { return gateways_; }
   DatagramRelay& datagrams() { return datagrams_; }
 
  private:
--- a/Source/BasilvalveProcessSoak/load_upstream.h
+++ b/Source/BasilvalveProcessSoak/load_upstream.h
@@ -4,18 +4,12 @@
 #include <string>
 
 #include "BasilvalveProcessSoak/channel.h"
+#include "BasilvalveProcessSoak/client_crowd.h"
 #include "UnitTests/Platform/Soak/platform_words.h"
 #include "UnitTests/Platform/Soak/store_stand_in.h"
 
 namespace basilvalve::process_soak {
 
-/// What the last part of a request's path asks an upstream for.
-inline constexpr const char* kOrdinaryPart = "ordinary";
-inline constexpr const char* kLargePart = "large";
-inline constexpr const char* kEndlessPart = "endless";
-inline constexpr const char* kEndlessChunksPart = "chunks";
-inline constexpr const char* kEndlessHeadPart = "head";
-
 /// An upstream whose responses are as large as their requests ask for. Thread
 /// safe.
 class LoadUpstream {
--- a/Source/BasilvalveProcessSoak/process_watch.h
+++ b/Source/BasilvalveProcessSoak/process_watch.h
@@ -24,12 +24,17 @@
   void WaitUntilSteady() const;
   /// The largest sample of open descriptors so far.
   int peak_descriptors() const { return peak_descriptors_; }
+  /// The largest sample so far of bytes that the process's sockets have
+  /// received and that it has not read. The kernel holds them outside of its
+  /// resident memory.
+  int64_t peak_unread_bytes() const { return peak_unread_bytes_; }
 
  private:
   void Sample();
 
   const pid_t pid_;
   std::atomic<int> peak_descriptors_{0};
+  std::atomic<int64_t> peak_unread_bytes_{0};
   std::atomic<bool> is_over_{false};
   std::thread sampler_;
 };
--- a/Source/UnitTests/Platform/Soak/platform_words.cc
+++ b/Source/UnitTests/Platform/Soak/platform_words.cc
@@ -152,6 +152,11 @@
   return "GET /metrics HTTP/1.1\r\nHost: p\r\n\r\n";
 }
 
+std::string DirectoryRequest(const GatewayPlace& place) {
+  return "GET /basilvalve/resolve?name=soak.example&zone=" + place.zone +
+         " HTTP/1.1\r\nHost: p\r\n\r\n";
+}
+
 int64_t StateVersionOf(const std::string& metrics) {
   const std::string name = "\nbasilvalve_edge_state_version ";
   size_t at = metrics.find(name);
--- a/Source/UnitTests/Platform/Soak/platform_words.h
+++ b/Source/UnitTests/Platform/Soak/platform_words.h
@@ -74,6 +74,8 @@
 std::string EvacuationKey(const std::string& zone);
 std::string ReadyRequest();
 std::string MetricsRequest();
+/// Asks the directory of a gateway where to connect.
+std::string DirectoryRequest(const GatewayPlace& place);
 /// Version of the desired state that the text of a metrics response has; -1 if
 /// it has none.
 int64_t StateVersionOf(const std::string& metrics);
