Gateway: connections of each status address have limits, slow ones give way

Clients ask the directory where to connect, so that a crowd reaches it as it reaches the callers' address.

Cause: StatusServer accepted without a limit on connections or memory.

Change: net::ServerConnections holds the connections of one address within budgets; AcceptedConnections is two of them, StatusServer one for each address, with 1/16 of the connections and 1/32 of the buffers each, taken from what calls had. When there is no room for a new connection, one that is closing anyway is ended, else the longest idle, else the request that has been incomplete for the longest time (1 s or more, 408), else the client that has read nothing for the longest time. Before, callers' connections with incomplete requests kept their places until their time limit, so that a crowd that comes back could keep new callers out. What is ended is logged and counted with the address as its side; event idle_connection_closed is now idle_connection. Edge's eviction policy and machine limits moved to Net.

New unit test for requests that stay incomplete.

--- a/Source/Core/Edge/accepted_connections.cc
+++ b/Source/Core/Edge/accepted_connections.cc
@@ -4,7 +4,6 @@
 #include <vector>
 
 #include "Core/Common/log.h"
-#include "Core/Edge/eviction_policy.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -18,8 +17,46 @@
   return limits;
 }
 
+std::string_view SideName(ConnectionSide side) {
+  return side == ConnectionSide::kPeer ? "peer" : "caller";
+}
+
 }  // namespace
 
+void ReportShed(EdgeMetrics* metrics, std::string_view side,
+                const net::ShedEvent& event) {
+  metrics->CountShed(net::ShedReasonName(event.reason));
+  LogEvent(LogLevel::kInfo, "edge", net::ShedReasonName(event.reason))
+      .With("side", side)
+      .With("bytes", static_cast<int64_t>(event.bytes))
+      .With("status", event.status)
+      .With("age_ms", event.age.count());
+}
+
+net::ServerConnections AcceptedConnections::MakeSet(ConnectionSide side) {
+  net::ServerConnectionsSettings settings;
+  if (side == ConnectionSide::kPeer) {
+    settings.limits = PeerLimits();
+    settings.request_use = net::MemoryUse::kOther;
+    settings.is_evictable = false;
+  } else {
+    // A call of a caller takes a second connection, to an upstream or instance.
+    settings.max_connections = budgets_.connections->limit() / 2;
+  }
+  return net::ServerConnections(
+      loop_, budgets_, settings,
+      [this, side](const net::ServerConnection::Ptr& caller,
+                   net::ServerRequest request) {
+        on_request_(side, caller, std::move(request));
+      },
+      [this, side](net::ServerConnection* ended) {
+        LogLostBytes(side, *ended);
+      },
+      [this, side](const net::ShedEvent& event) {
+        ReportShed(metrics_, SideName(side), event);
+      });
+}
+
 AcceptedConnections::AcceptedConnections(net::EventLoop* loop,
                                          EdgeMetrics* metrics,
                                          net::ConnectionBudgets budgets,
@@ -27,10 +64,12 @@
     : loop_(loop),
       metrics_(metrics),
       budgets_(std::move(budgets)),
-      on_request_(std::move(on_request)) {
+      on_request_(std::move(on_request)),
+      callers_(MakeSet(ConnectionSide::kCaller)),
+      peers_(MakeSet(ConnectionSide::kPeer)) {
   budgets_.memory->SetShortageHandler(
       [this](net::MemoryUse use, size_t missing) {
-        OnMemoryShortage(use, missing);
+        callers_.OnMemoryShortage(use, missing);
       });
 }
 
@@ -38,192 +77,68 @@
   budgets_.memory->SetShortageHandler(nullptr);
 }
 
-bool AcceptedConnections::HasRoomFor(ConnectionSide side) const {
-  // A call of a caller takes a second connection, to an upstream or instance.
-  return budgets_.connections->has_room() &&
-         (side == ConnectionSide::kPeer ||
-          callers_ < budgets_.connections->limit() / 2);
-}
-
 void AcceptedConnections::Accept(ConnectionSide side,
                                  std::unique_ptr<net::Socket> socket) {
-  if (!HasRoomFor(side)) {
-    CloseLongestIdle();
-  }
-  if (!HasRoomFor(side)) {
-    metrics_->CountShed("connection_refused");
-    LogEvent(LogLevel::kInfo, "edge", "connection_refused")
-        .With("side", side == ConnectionSide::kPeer ? "peer" : "caller")
-        .With("callers", static_cast<int64_t>(callers_))
-        .With("connections",
-              static_cast<int64_t>(budgets_.connections->used()));
-    return;
-  }
-  bool is_peer = side == ConnectionSide::kPeer;
-  auto connection = std::make_shared<net::ServerConnection>(
-      loop_, std::move(socket), is_peer ? PeerLimits() : caller_limits_,
-      [this, side](const net::ServerConnection::Ptr& caller,
-                   net::ServerRequest request) {
-        on_request_(side, caller, std::move(request));
-      },
-      [this](net::ServerConnection* ended) { OnClosed(ended); },
-      budgets_.memory,
-      is_peer ? net::MemoryUse::kOther : net::MemoryUse::kCallerRequests);
-  callers_ += is_peer ? 0 : 1;
-  connections_[connection.get()] = {side, connection,
-                                    net::ConnectionSlot(budgets_.connections)};
-  connection->Start();
-  if (is_closing_ && side == ConnectionSide::kCaller) {
-    connection->CloseAfterNextResponse();
-  }
-}
-
-void AcceptedConnections::CloseLongestIdle() {
-  const Connection* longest = nullptr;
-  for (const auto& [raw, it] : connections_) {
-    if (it.side == ConnectionSide::kCaller && it.connection->IsIdle() &&
-        (longest == nullptr ||
-         it.connection->idle_since() < longest->connection->idle_since())) {
-      longest = &it;
-    }
-  }
-  if (longest == nullptr) {
-    return;
-  }
-  metrics_->CountShed("idle_connection");
-  LogEvent(LogLevel::kInfo, "edge", "idle_connection_closed")
-      .With("callers", static_cast<int64_t>(callers_));
-  // Closing removes it from the map.
-  net::ServerConnection::Ptr connection = longest->connection;
-  connection->CloseWhenIdle();
-}
-
-void AcceptedConnections::OnMemoryShortage(net::MemoryUse use, size_t missing) {
-  if (use == net::MemoryUse::kCallerRequests) {
-    EvictRequests(missing);
-  } else {
-    EvictUnreadResponse(missing);
+  if (side == ConnectionSide::kPeer && !peers_.HasRoom()) {
+    callers_.MakeRoom();
   }
-}
-
-void AcceptedConnections::LogShed(std::string_view event, size_t bytes) {
-  metrics_->CountShed(event);
-  LogEvent(LogLevel::kInfo, "edge", event)
-      .With("bytes", static_cast<int64_t>(bytes))
-      .With("buffered_bytes", static_cast<int64_t>(budgets_.memory->used()));
-}
-
-void AcceptedConnections::EvictRequests(size_t missing) {
-  Instant now = loop_->Now();
-  for (size_t freed = 0; freed < missing;) {
-    net::ServerConnection* first = nullptr;
-    net::UnfinishedRequest evicted;
-    for (const auto& [raw, it] : connections_) {
-      net::UnfinishedRequest request = it.connection->unfinished_request();
-      if (it.side == ConnectionSide::kCaller && request.bytes > 0 &&
-          (first == nullptr || IsEvictedBefore(request, evicted, now))) {
-        first = raw;
-        evicted = request;
-      }
-    }
-    if (first == nullptr) {
-      LogShed("request_refused", missing);
-      return;
-    }
-    int status = IsStalled(evicted, now) ? 408 : 503;
-    metrics_->CountShed("request_evicted");
-    LogEvent(LogLevel::kInfo, "edge", "request_evicted")
-        .With("status", status)
-        .With("bytes", static_cast<int64_t>(evicted.bytes))
-        .With("age_ms", std::chrono::floor<Millis>(now - evicted.began).count())
-        .With("buffered_bytes", static_cast<int64_t>(budgets_.memory->used()));
-    first->EvictRequest(status);
-    freed += evicted.bytes;
+  net::ServerConnection::Ptr accepted = SetOf(side).Accept(std::move(socket));
+  if (accepted && is_closing_ && side == ConnectionSide::kCaller) {
+    accepted->CloseAfterNextResponse();
   }
 }
 
-void AcceptedConnections::EvictUnreadResponse(size_t missing) {
-  Instant now = loop_->Now();
-  net::ServerConnection::Ptr largest;
-  size_t bytes = 0;
-  for (const auto& [raw, it] : connections_) {
-    net::UnwrittenResponse response = it.connection->unwritten_response();
-    if (it.side == ConnectionSide::kCaller && IsUnread(response, now) &&
-        response.bytes > bytes) {
-      largest = it.connection;
-      bytes = response.bytes;
-    }
-  }
-  // The memory comes free too late for the response that needs it now.
-  LogShed("response_refused", missing);
-  if (!largest) {
-    return;
+std::vector<net::ServerConnection::Ptr> AcceptedConnections::All() const {
+  std::vector<net::ServerConnection::Ptr> open = callers_.All();
+  for (auto& it : peers_.All()) {
+    open.push_back(std::move(it));
   }
-  LogShed("response_evicted", bytes);
-  // Posted, as the call whose response needs the memory is on the stack and may
-  // be the one that ends.
-  loop_->Post([largest] { largest->Disconnect(); });
+  return open;
 }
 
-void AcceptedConnections::OnClosed(net::ServerConnection* ended) {
-  auto it = connections_.find(ended);
-  if (it == connections_.end()) {
+void AcceptedConnections::LogLostBytes(ConnectionSide side,
+                                       const net::ServerConnection& ended) {
+  net::LostBytes lost = ended.lost_bytes();
+  if (!lost.any()) {
     return;
   }
-  net::LostBytes lost = ended->lost_bytes();
-  if (lost.any()) {
-    metrics_->CountBytesLost(lost.unwritten, lost.discarded);
-    LogEvent(LogLevel::kInfo, "edge", "connection_bytes_lost")
-        .With("side",
-              it->second.side == ConnectionSide::kPeer ? "peer" : "caller")
-        .With("unwritten", static_cast<int64_t>(lost.unwritten))
-        .With("discarded", static_cast<int64_t>(lost.discarded))
-        .With("closed_by", ended->is_closed_by_peer() ? "peer" : "us")
-        .With("draining", is_closing_ ? "yes" : "no");
-  }
-  callers_ -= it->second.side == ConnectionSide::kCaller ? 1 : 0;
-  connections_.erase(it);
+  metrics_->CountBytesLost(lost.unwritten, lost.discarded);
+  LogEvent(LogLevel::kInfo, "edge", "connection_bytes_lost")
+      .With("side", SideName(side))
+      .With("unwritten", static_cast<int64_t>(lost.unwritten))
+      .With("discarded", static_cast<int64_t>(lost.discarded))
+      .With("closed_by", ended.is_closed_by_peer() ? "peer" : "us")
+      .With("draining", is_closing_ ? "yes" : "no");
 }
 
 void AcceptedConnections::SetCallerLimits(const net::ServerLimits& limits) {
-  caller_limits_ = limits;
-  for (const auto& [raw, it] : connections_) {
-    if (it.side == ConnectionSide::kCaller) {
-      it.connection->SetLimits(limits);
-    }
-  }
+  callers_.SetLimits(limits);
 }
 
 void AcceptedConnections::AnnounceClose() {
   is_closing_ = true;
-  for (const auto& [raw, it] : connections_) {
-    it.connection->CloseAfterNextResponse();
+  for (const auto& it : All()) {
+    it->CloseAfterNextResponse();
   }
 }
 
 void AcceptedConnections::CloseIdle() {
-  // A connection that closes removes itself.
-  std::vector<net::ServerConnection::Ptr> open;
-  for (const auto& [raw, it] : connections_) {
-    open.push_back(it.connection);
-  }
-  for (const auto& connection : open) {
-    connection->CloseWhenIdle();
+  for (const auto& it : All()) {
+    it->CloseWhenIdle();
   }
 }
 
 bool AcceptedConnections::HasUnfinishedWork() const {
-  return std::any_of(
-      connections_.begin(), connections_.end(), [](const auto& entry) {
-        const net::ServerConnection& it = *entry.second.connection;
-        return it.busy() || it.lost_bytes().unwritten > 0;
-      });
+  std::vector<net::ServerConnection::Ptr> open = All();
+  return std::any_of(open.begin(), open.end(), [](const auto& it) {
+    return it->busy() || it->lost_bytes().unwritten > 0;
+  });
 }
 
 size_t AcceptedConnections::UnwrittenBytes() const {
   size_t n = 0;
-  for (const auto& [raw, it] : connections_) {
-    n += it.connection->lost_bytes().unwritten;
+  for (const auto& it : All()) {
+    n += it->lost_bytes().unwritten;
   }
   return n;
 }
--- a/Source/Core/Edge/accepted_connections.h
+++ b/Source/Core/Edge/accepted_connections.h
@@ -3,11 +3,9 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_map>
 
 #include "Core/Edge/edge_metrics.h"
-#include "Core/Net/client_connection.h"
-#include "Core/Net/server_connection.h"
+#include "Core/Net/server_connections.h"
 
 namespace basilvalve::edge {
 
@@ -45,37 +43,31 @@
   bool HasUnfinishedWork() const;
   /// Bytes of responses that are not written yet. Not thread safe.
   size_t UnwrittenBytes() const;
-  size_t size() const { return connections_.size(); }
+  size_t size() const { return callers_.size() + peers_.size(); }
   /// Connections of callers. Not thread safe.
-  size_t callers() const { return callers_; }
+  size_t callers() const { return callers_.size(); }
 
  private:
-  struct Connection {
-    ConnectionSide side;
-    net::ServerConnection::Ptr connection;
-    net::ConnectionSlot slot;
-  };
-
-  void OnClosed(net::ServerConnection* ended);
-  bool HasRoomFor(ConnectionSide side) const;
-  /// Closes the callers' connection that has been idle for the longest time.
-  void CloseLongestIdle();
-  /// Ends requests or responses of callers until `missing` bytes are free or
-  /// will be.
-  void OnMemoryShortage(net::MemoryUse use, size_t missing);
-  void EvictRequests(size_t missing);
-  void EvictUnreadResponse(size_t missing);
-  /// Counts and logs what was ended or refused for want of memory.
-  void LogShed(std::string_view event, size_t bytes);
+  net::ServerConnections MakeSet(ConnectionSide side);
+  net::ServerConnections& SetOf(ConnectionSide side) {
+    return side == ConnectionSide::kCaller ? callers_ : peers_;
+  }
+  /// The open connections, which may be closed while the result is used.
+  std::vector<net::ServerConnection::Ptr> All() const;
+  void LogLostBytes(ConnectionSide side, const net::ServerConnection& ended);
 
   net::EventLoop* loop_;
   EdgeMetrics* metrics_;
   net::ConnectionBudgets budgets_;
   RequestHandler on_request_;
-  net::ServerLimits caller_limits_;
   bool is_closing_ = false;
-  size_t callers_ = 0;
-  std::unordered_map<net::ServerConnection*, Connection> connections_;
+  net::ServerConnections callers_;
+  net::ServerConnections peers_;
 };
 
+/// Counts and logs what connections of an instance had to give way.
+/// `side`: who opened them. Thread safe.
+void ReportShed(EdgeMetrics* metrics, std::string_view side,
+                const net::ShedEvent& event);
+
 }  // namespace basilvalve::edge
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -60,10 +60,7 @@
                    const CallDialect* dialect)
     : loop_(loop),
       settings_(std::move(settings)),
-      budgets_{
-          std::make_shared<net::MemoryBudget>(settings_.machine.BufferBytes()),
-          std::make_shared<net::ConnectionBudget>(
-              settings_.machine.Connections())},
+      budgets_(net::ConnectionBudgets::Create(settings_.machine.CallShare())),
       random_(settings_.seed),
       registry_(settings_.self.region),
       placer_(&registry_, this,
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -12,7 +12,7 @@
 #include "Core/Edge/exchange.h"
 #include "Core/Edge/freshness_monitor.h"
 #include "Core/Edge/hedge_planner.h"
-#include "Core/Edge/machine_limits.h"
+#include "Core/Net/machine_limits.h"
 
 namespace basilvalve::edge {
 
@@ -34,7 +34,7 @@
   Micros region_round_trip{Millis(110)};
   /// Longest time from the start of a drain to the exit of the process.
   Millis stop_grace{8000};
-  MachineLimits machine;
+  net::MachineLimits machine;
   uint64_t seed = 0;
   /// Longest time after which a key that the newest desired state lacks is
   /// still accepted; nullopt: no limit.
--- a/Source/Core/Net/client_connection.h
+++ b/Source/Core/Net/client_connection.h
@@ -10,7 +10,6 @@
 
 #include "Core/Common/strong_id.h"
 #include "Core/Net/connection_budget.h"
-#include "Core/Net/memory_budget.h"
 #include "Core/Net/message.h"
 #include "Core/Net/socket.h"
 #include "Core/Net/write_buffer.h"
@@ -54,13 +53,6 @@
   virtual void OnError(ClientError error) = 0;
 };
 
-/// What the connections of a process may take together; no limit where a
-/// pointer is nullptr.
-struct ConnectionBudgets {
-  MemoryBudget::Ptr memory;
-  ConnectionBudget::Ptr connections;
-};
-
 /// A persistent connection. Not thread safe.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
--- a/Source/Core/Net/connection_budget.h
+++ b/Source/Core/Net/connection_budget.h
@@ -1,10 +1,13 @@
-// Limit on the connections that a process has open.
+// Limits on what the connections of a process take.
 #pragma once
 
 #include <cstddef>
 #include <memory>
 #include <utility>
 
+#include "Core/Net/machine_limits.h"
+#include "Core/Net/memory_budget.h"
+
 namespace basilvalve::net {
 
 /// Counts open connections. Its slots share the ownership of it. Not thread
@@ -59,4 +62,17 @@
   ConnectionBudget::Ptr budget_;
 };
 
+/// What the connections of a process may take together; no limit where a
+/// pointer is nullptr.
+struct ConnectionBudgets {
+  MemoryBudget::Ptr memory;
+  ConnectionBudget::Ptr connections;
+
+  /// Budgets of this size. Thread safe.
+  static ConnectionBudgets Create(const ResourceShare& share) {
+    return {std::make_shared<MemoryBudget>(share.buffer_bytes),
+            std::make_shared<ConnectionBudget>(share.connections)};
+  }
+};
+
 }  // namespace basilvalve::net
--- a/Source/Core/Net/eviction_policy.cc
+++ b/Source/Core/Net/eviction_policy.cc
@@ -1,6 +1,6 @@
-#include "Core/Edge/eviction_policy.h"
+#include "Core/Net/eviction_policy.h"
 
-namespace basilvalve::edge {
+namespace basilvalve::net {
 namespace {
 
 // Two retransmissions of a lost packet take less.
@@ -10,12 +10,16 @@
 
 }  // namespace
 
-bool IsStalled(const net::UnfinishedRequest& request, Instant now) {
+bool IsStalled(const UnfinishedRequest& request, Instant now) {
   return now - request.last_read >= kStallTime;
 }
 
-bool IsEvictedBefore(const net::UnfinishedRequest& left,
-                     const net::UnfinishedRequest& right, Instant now) {
+bool IsSlow(const UnfinishedRequest& request, Instant now) {
+  return request.bytes > 0 && now - request.began >= kStallTime;
+}
+
+bool IsEvictedBefore(const UnfinishedRequest& left,
+                     const UnfinishedRequest& right, Instant now) {
   bool is_left_large = left.bytes >= kLargeBytes;
   bool is_right_large = right.bytes >= kLargeBytes;
   if (is_left_large != is_right_large) {
@@ -30,9 +34,12 @@
                          : left.began > right.began;
 }
 
-bool IsUnread(const net::UnwrittenResponse& response, Instant now) {
-  return response.bytes >= kLargeBytes &&
-         now - response.last_written >= kStallTime;
+bool IsStuck(const UnwrittenResponse& response, Instant now) {
+  return response.bytes > 0 && now - response.last_written >= kStallTime;
+}
+
+bool IsUnread(const UnwrittenResponse& response, Instant now) {
+  return response.bytes >= kLargeBytes && IsStuck(response, now);
 }
 
-}  // namespace basilvalve::edge
+}  // namespace basilvalve::net
--- a/Source/UnitTests/Core/Edge/overload_test.cc
+++ b/Source/UnitTests/Core/Edge/overload_test.cc
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "Core/Edge/accepted_connections.h"
-#include "Core/Edge/eviction_policy.h"
+#include "Core/Net/eviction_policy.h"
 
 namespace basilvalve::edge {
 namespace {
@@ -126,6 +126,30 @@
   }
 }
 
+// Guards against callers that keep all connections with requests that never
+// become complete, and come back when they are cut off.
+TEST_CASE("requests that stay incomplete give way to new connections") {
+  OverloadFixture f(/*max_connections=*/6);
+  std::vector<net::Socket*> slow;
+  for (int i = 0; i < 3; ++i) {
+    slow.push_back(f.Send(1, 100));
+    f.Pass(Millis(10));
+  }
+  for (int i = 0; i < 20; ++i) {
+    for (net::Socket* it : slow) {
+      f.Write(it, "b");
+    }
+    f.Pass(Millis(50));
+  }
+  net::Socket* ordinary = f.Send(100, 100);
+  CHECK(f.Status(ordinary) == "HTTP/1.1 200");
+  CHECK(f.Status(slow[0]) == "HTTP/1.1 408");
+  CHECK(f.Status(slow[1]).empty());
+  CHECK(f.accepted.callers() == 3);
+  CHECK(f.metrics.Text().find("shed_total{reason=\"slow_request\"} 1") !=
+        std::string::npos);
+}
+
 // Guards against a caller that is read without end after its refusal.
 TEST_CASE("input behind a refusal is discarded up to a limit") {
   OverloadFixture f;
