basilvalved: callers and operators share bounded memory and descriptors

Cause: http::Server had no limit on its connections or on what they buffer. docs/design/hard-load.md said that it had the gateway's budget.

Bodies are moved into the call, and freed once they are serialized for an upstream. The allocator gives large blocks back. The process raises its soft limit on descriptors to the setting. basilvalve_shed_total counts what gave way by address and reason.

--- a/Source/BasilvalveProcessSoak/daemon_load.cc
+++ b/Source/BasilvalveProcessSoak/daemon_load.cc
@@ -20,6 +20,8 @@
 // A client that has read this much is offered a large window by the kernel.
 constexpr size_t kEagerBytes = size_t{2} * 1024 * 1024;
 constexpr size_t kLargeBytes = size_t{4} * 1024 * 1024 - 64 * 1024;
+constexpr int kMaxAnswerBytes = 6 * 1024 * 1024;
+constexpr size_t kStalledBytes = size_t{6} * 1024 * 1024 - 64 * 1024;
 constexpr size_t kOrdinaryBytes = 800;
 // Their responses are larger than the machine's memory.
 constexpr int kPipelinedRequests = 16;
@@ -28,6 +30,8 @@
 constexpr int kFirstPort = 24'000;
 constexpr unsigned kStandInThreads = 200;
 constexpr const char* kKey = "load-key";
+// A large response that goes on one byte at a time.
+constexpr const char* kStalledPart = "stalled";
 
 // Offsets of the process's ports.
 constexpr int kCallerPort = 0;
@@ -48,7 +52,8 @@
               {"regions", {{"permitted", {"east"}}, {"home", "east"}}},
               {"calls",
                {call("GET", kOrdinaryPart), call("POST", kOrdinaryPart),
-                call("GET", kLargePart), call("POST", kEndlessPart)}},
+                call("GET", kLargePart), call("GET", kStalledPart),
+                call("POST", kEndlessPart)}},
               {"targets", {{"deadline_ms", kCallMs}}},
               {"limits", {{"body_bytes", kMaxBodyBytes}}}}
       .dump();
@@ -60,8 +65,11 @@
   const std::string& path = exchange->request().path;
   if (path == "/v1/load") {
     exchange->Reply(200, {}, R"({"running":0,"slots":512})");
-  } else if (path.ends_with(kEndlessPart)) {
+  } else if (path.ends_with(kEndlessPart) || path.ends_with(kStalledPart)) {
     exchange->BeginStream(200, {});
+    if (path.ends_with(kStalledPart)) {
+      exchange->WriteStream(std::string(kStalledBytes, 'x'));
+    }
     while (!is_stopping_ && exchange->WriteStream("x")) {
       SleepMs(kStepMs);
     }
@@ -106,6 +114,10 @@
   });
   AddCase("slow-readers", kLimits,
           [this] { crowd().ReadSlowly(kLargePart, kEagerBytes); });
+  AddCase("stalled-responses", kLimits, [this] {
+    crowd().LeaveUnread(kStalledPart, 1);
+    WaitUntil([this] { return crowd().HasResponses(); });
+  });
   AddCase("one-large-request", kLimits,
           [this] { SendOneLargeRequest(kOrdinaryPart); });
 }
@@ -163,7 +175,7 @@
   add("store-address", servers_[0]->endpoint().Text());
   add("instance-list-address", servers_[1]->endpoint().Text());
   add("max-body-bytes", std::to_string(kMaxBodyBytes));
-  add("max-answer-bytes", std::to_string(kMaxBodyBytes));
+  add("max-answer-bytes", std::to_string(kMaxAnswerBytes));
   // As environment, so that a program without these settings starts, too.
   std::vector<std::string> environment = {
       "BASILVALVE_PEER_KEYS=client-load-peer-key",
--- a/Source/Basilvalved/main.cc
+++ b/Source/Basilvalved/main.cc
@@ -1,7 +1,9 @@
 // The gateway daemon. Parses the settings, runs one instance and drains it on
 // SIGTERM, SIGINT or a request to the admin address.
 #include <malloc.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -37,8 +39,31 @@
 // thread, the process would hold several times the memory that it uses.
 constexpr int kMallocArenas = 4;
 
+// Blocks of this size and more are given back to the system when they are
+// freed. By default, the allocator raises the threshold with each of them.
+constexpr int kMmapThreshold = 128 * 1024;
+
+/// Raises the soft limit on open descriptors up to `wanted`, as far as the hard
+/// limit permits.
+void RaiseDescriptorLimit(int64_t wanted) {
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0 ||
+      files.rlim_cur >= static_cast<rlim_t>(wanted)) {
+    return;
+  }
+  files.rlim_cur = std::min(files.rlim_max, static_cast<rlim_t>(wanted));
+  if (setrlimit(RLIMIT_NOFILE, &files) != 0 ||
+      files.rlim_cur < static_cast<rlim_t>(wanted)) {
+    LogEvent(LogLevel::kWarn, "main", "descriptor_limit_low")
+        .With("limit", static_cast<int64_t>(files.rlim_cur))
+        .With("max_descriptors", wanted);
+  }
+}
+
 int Run(const gateway::NodeSettings& settings) {
   mallopt(M_ARENA_MAX, kMallocArenas);
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
+  RaiseDescriptorLimit(settings.max_descriptors);
   sigset_t signals = BlockStopSignals();
   Result<std::unique_ptr<gateway::Node>> node = gateway::Node::Start(
       settings, gateway::Node::CreateHttpPlatform(settings));
--- a/Source/Core/Gateway/caller_api.cc
+++ b/Source/Core/Gateway/caller_api.cc
@@ -137,7 +137,7 @@
 }
 
 void CallerApi::HandleCall(http::Exchange* exchange) {
-  Result<Call> parsed = ParseCall(*exchange, *parts_);
+  Result<Call> parsed = ParseCall(exchange, *parts_);
   if (!parsed) {
     RequestId none;
     parts_->metrics->CountRequest(parsed.error().code, parsed.error().outcome);
--- a/Source/Core/Gateway/node.cc
+++ b/Source/Core/Gateway/node.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "Core/Common/log.h"
+#include "Core/Gateway/node_shares.h"
 #include "Core/Platform/http_client_directory.h"
 #include "Core/Platform/http_instance_list.h"
 #include "Core/Platform/http_key_value_store.h"
@@ -165,7 +166,15 @@
       &parts_, document_sync_.get(), entry_advisor_.get(), explainer_.get(),
       [this] { BeginDrain(); });
   std::string reason;
+  Result<NodeShares> shares = NodeShares::Create(settings_);
+  if (!shares) {
+    return tl::make_unexpected(shares.error());
+  }
   http::ServerSettings admin;
+  admin.share = shares->admin;
+  admin.on_shed = [this](std::string_view cause) {
+    parts_.metrics->CountShed("admin", cause);
+  };
   admin.endpoint = EndpointOf(settings_.admin_address);
   admin.max_threads = kMaxAdminThreads;
   admin.max_body_bytes = kMaxAdminBodyBytes;
@@ -174,6 +183,10 @@
     return Fail(ResultCode::kSettingInvalid, "--admin-address: " + reason);
   }
   http::ServerSettings caller;
+  caller.share = shares->callers;
+  caller.on_shed = [this](std::string_view cause) {
+    parts_.metrics->CountShed("caller", cause);
+  };
   caller.endpoint = EndpointOf(settings_.caller_address);
   caller.max_threads = static_cast<unsigned>(settings_.caller_threads);
   caller.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
--- a/Source/Core/Gateway/node_settings.cc
+++ b/Source/Core/Gateway/node_settings.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "Core/Common/keyring.h"
+#include "Core/Gateway/node_shares.h"
 #include "Core/Routing/chooser.h"
 
 namespace basilvalve::gateway {
@@ -142,6 +143,15 @@
               &s->max_body_bytes, 1, kMaxBytes),
        number("max-answer-bytes", "bytes", "8388608",
               "Longest buffered answer.", &s->max_answer_bytes, 1, kMaxBytes),
+       number("memory-mb", "MB", "1024",
+              "Memory for this process. 60% of what is above 24 MB may be "
+              "buffered for requests and answers; beyond that, callers are "
+              "refused or disconnected.",
+              &s->memory_mb, 32, kMaxCount),
+       number("max-descriptors", "files", "4096",
+              "Descriptors that this process may open; the soft limit of the "
+              "process is raised to it.",
+              &s->max_descriptors, 256, kMaxCount),
        number("max-attempts", "calls", "3", "Attempts of an idempotent call.",
               &s->max_attempts, 1, 10),
        number("link-mbit", "Mbit/s", "2000",
@@ -249,6 +259,10 @@
     return Fail(ResultCode::kSettingInvalid,
                 "--peer-dead-ms: must be above heartbeat-ms");
   }
+  Result<NodeShares> shares = NodeShares::Create(settings);
+  if (!shares) {
+    return tl::make_unexpected(shares.error());
+  }
   if (settings.tls_certificate.empty() != settings.tls_key.empty()) {
     return Fail(ResultCode::kSettingInvalid,
                 "--tls-key: must be set if and only if tls-certificate is set");
--- a/Source/Core/Gateway/node_settings.h
+++ b/Source/Core/Gateway/node_settings.h
@@ -50,6 +50,8 @@
   int64_t entry_validity_s = 0;
   int64_t ticket_validity_s = 0;
   int64_t claim_keep_s = 0;
+  int64_t memory_mb = 0;
+  int64_t max_descriptors = 0;
   int64_t max_attempts = 0;
   int64_t link_delay_ms = 0;
   int64_t link_mbit = 0;
--- a/Source/Core/Gateway/request_parser.cc
+++ b/Source/Core/Gateway/request_parser.cc
@@ -66,13 +66,13 @@
 
 }  // namespace
 
-Result<Call> ParseCall(const http::Exchange& exchange, const NodeParts& parts) {
-  const http::Request& request = exchange.request();
+Result<Call> ParseCall(http::Exchange* exchange, const NodeParts& parts) {
+  const http::Request& request = exchange->request();
   Result<void> checked = CheckNoDuplicateHeaders(request.headers);
   if (!checked) {
     return tl::make_unexpected(checked.error());
   }
-  if (exchange.body_too_large()) {
+  if (exchange->body_too_large()) {
     return Fail(ResultCode::kBodyTooLarge,
                 "the body is longer than this instance accepts");
   }
@@ -86,7 +86,7 @@
   call.query = request.query;
   call.content_type =
       std::string(http::FindHeader(request.headers, "Content-Type"));
-  call.body = request.body;
+  call.body = exchange->TakeBody();
   call.arrived = parts.clock->Now();
   call.ticket =
       std::string(http::FindHeader(request.headers, "Basilvalve-Ticket"));
--- a/Source/Core/Gateway/request_parser.h
+++ b/Source/Core/Gateway/request_parser.h
@@ -15,7 +15,7 @@
 /// Parses a call. Fails with kMalformedRequest, kDuplicateHeader or
 /// kBodyTooLarge. The request id contains this instance's id, so that any
 /// instance can find the one that recorded the outcome. Thread safe.
-Result<Call> ParseCall(const http::Exchange& exchange, const NodeParts& parts);
+Result<Call> ParseCall(http::Exchange* exchange, const NodeParts& parts);
 
 /// The instance that assigned a request id.
 struct RequestOrigin {
--- a/Source/Core/Http/http_client.cc
+++ b/Source/Core/Http/http_client.cc
@@ -21,7 +21,8 @@
   }
   text += "Content-Length: " + std::to_string(request.body.size()) +
           "\r\nConnection: close\r\n\r\n";
-  return text + request.body;
+  text.reserve(text.size() + request.body.size());
+  return text.append(request.body);
 }
 
 /// Passes one response to its sink and records how the call ended.
@@ -127,13 +128,15 @@
 
 }  // namespace
 
-CallReport Execute(const Endpoint& endpoint, const Request& request,
+CallReport Execute(const Endpoint& endpoint, Request request,
                    const CallTimeouts& timeouts, ResponseSink* sink) {
   net::EventLoop loop;
   ClientCall call(&loop, sink);
   auto connection = net::ClientConnection::Open(
       &loop, endpoint, timeouts.connect, timeouts.idle);
   connection->Send(Serialize(endpoint, request), &call);
+  // The call may last long.
+  std::string().swap(request.body);
   RunUntilFinished(&loop, &call, timeouts, sink);
   connection->Close();
   return call.report;
--- a/Source/Core/Http/http_client.h
+++ b/Source/Core/Http/http_client.h
@@ -58,7 +58,7 @@
 /// Runs one call on a new connection and blocks until it has ended. The request
 /// is sent at most once. Thread safe. Pre: the endpoint's host is an IP
 /// address. Throws nothing.
-CallReport Execute(const Endpoint& endpoint, const Request& request,
+CallReport Execute(const Endpoint& endpoint, Request request,
                    const CallTimeouts& timeouts, ResponseSink* sink);
 
 /// A response with its complete body.
--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -1,12 +1,12 @@
 #include "Core/Http/http_server.h"
 
-#include <set>
 #include <thread>
 #include <utility>
 
+#include "Core/Common/log.h"
 #include "Core/Http/server_exchange.h"
 #include "Core/Http/worker_pool.h"
-#include "Core/Net/server_connection.h"
+#include "Core/Net/server_connections.h"
 #include "Core/Net/tls_context.h"
 
 namespace basilvalve::http {
@@ -14,6 +14,8 @@
 
 // The API uses few and short headers; a larger head is an error.
 constexpr uint32_t kMaxHeaderBytes = 8 * 1024;
+// The kernel's buffers are memory of the machine, too.
+constexpr net::StreamBuffers kStreamBuffers{128 * 1024, 128 * 1024};
 
 Request ToRequest(net::ServerRequest received) {
   Request request;
@@ -33,12 +35,26 @@
 class EventLoopServer : public Server {
  public:
   EventLoopServer(const ServerSettings& settings, Handler* handler)
-      : settings_(settings), handler_(handler), pool_(settings.max_threads) {
-    limits_.header_bytes = kMaxHeaderBytes;
-    limits_.body_bytes = settings.max_body_bytes;
-    limits_.deliver_oversized = true;
-    limits_.header_timeout = settings.read_timeout;
-    limits_.idle_timeout = settings.keep_alive;
+      : settings_(settings),
+        handler_(handler),
+        budgets_(settings.share
+                     ? net::ConnectionBudgets::Create(*settings.share)
+                     : net::ConnectionBudgets()),
+        connections_(
+            &loop_, budgets_, ConnectionSettings(settings),
+            [this](const net::ServerConnection::Ptr& from,
+                   net::ServerRequest request) {
+              OnRequest(from, std::move(request));
+            },
+            [](net::ServerConnection*) {},
+            [this](const net::ShedEvent& event) { OnShed(event); }),
+        pool_(settings.max_threads) {
+    if (budgets_.memory != nullptr) {
+      budgets_.memory->SetShortageHandler(
+          [this](net::MemoryUse use, size_t missing) {
+            connections_.OnMemoryShortage(use, missing);
+          });
+    }
   }
 
   ~EventLoopServer() override {
@@ -63,8 +79,12 @@
     auto listener = net::Listener::Create(
         &loop_, settings_.endpoint, settings_.write_timeout,
         [this](std::unique_ptr<net::Socket> socket) {
-          Accept(std::move(socket));
-        });
+          if (tls_ != nullptr) {
+            socket->StartTls(*tls_);
+          }
+          connections_.Accept(std::move(socket));
+        },
+        settings_.share ? kStreamBuffers : net::StreamBuffers());
     if (!listener) {
       return tl::make_unexpected(listener.error());
     }
@@ -77,26 +97,35 @@
   Endpoint endpoint() const override { return settings_.endpoint; }
 
  private:
-  void Accept(std::unique_ptr<net::Socket> socket) {
-    if (tls_ != nullptr) {
-      socket->StartTls(*tls_);
+  static net::ServerConnectionsSettings ConnectionSettings(
+      const ServerSettings& settings) {
+    net::ServerConnectionsSettings connections;
+    net::ServerLimits& limits = connections.limits;
+    limits.header_bytes = kMaxHeaderBytes;
+    limits.body_bytes = settings.max_body_bytes;
+    limits.deliver_oversized = true;
+    limits.body_copies = kBodyCopies;
+    limits.header_timeout = settings.read_timeout;
+    limits.idle_timeout = settings.keep_alive;
+    return connections;
+  }
+
+  void OnShed(const net::ShedEvent& event) {
+    std::string_view reason = net::ShedReasonName(event.reason);
+    LogEvent(LogLevel::kInfo, "http", reason)
+        .With("address", settings_.endpoint.Text())
+        .With("bytes", static_cast<int64_t>(event.bytes))
+        .With("status", event.status)
+        .With("age_ms", event.age.count());
+    if (settings_.on_shed) {
+      settings_.on_shed(reason);
     }
-    auto connection = std::make_shared<net::ServerConnection>(
-        &loop_, std::move(socket), limits_,
-        [this](const net::ServerConnection::Ptr& from,
-               net::ServerRequest request) {
-          OnRequest(from, std::move(request));
-        },
-        [this](net::ServerConnection* closed) {
-          connections_.erase(closed->shared_from_this());
-        });
-    connections_.insert(connection);
-    connection->Start();
   }
 
   void OnRequest(const net::ServerConnection::Ptr& from,
                  net::ServerRequest received) {
-    auto channel = std::make_shared<ResponseChannel>(&loop_, from);
+    auto channel = std::make_shared<ResponseChannel>(&loop_, from,
+                                                     from->TakeRequestMemory());
     from->SetDisconnectHandler([channel] { channel->MarkDisconnected(); });
     bool oversized = received.body_too_large;
     bool keep_alive = received.head.keep_alive && !oversized;
@@ -108,20 +137,18 @@
 
   void CloseConnections() {
     listener_.reset();
-    // Iterates over the moved-out set, as each connection removes itself from
-    // `connections_` when it closes.
-    for (const auto& it : std::exchange(connections_, {})) {
+    for (const auto& it : connections_.All()) {
       it->Disconnect();
     }
   }
 
   ServerSettings settings_;
   Handler* handler_;
-  net::ServerLimits limits_;
   std::shared_ptr<net::TlsContext> tls_;
   net::EventLoop loop_;
   std::unique_ptr<net::Listener> listener_;
-  std::set<net::ServerConnection::Ptr> connections_;
+  net::ConnectionBudgets budgets_;
+  net::ServerConnections connections_;
   WorkerPool pool_;
   std::thread thread_;
 };
--- a/Source/Core/Http/http_server.h
+++ b/Source/Core/Http/http_server.h
@@ -3,11 +3,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "Core/Http/http_message.h"
+#include "Core/Net/machine_limits.h"
 
 namespace basilvalve::http {
 
@@ -17,6 +20,8 @@
   virtual ~Exchange() = default;
   /// The request with its complete body.
   virtual const Request& request() const = 0;
+  /// Moves the body out of the request.
+  virtual std::string TakeBody() = 0;
   /// Whether the body exceeded the server's limit and was discarded.
   virtual bool body_too_large() const = 0;
   /// Sends a complete response. Pre: neither Reply nor BeginStream was called
@@ -47,6 +52,10 @@
   virtual void Handle(Exchange* exchange) = 0;
 };
 
+/// How often the body of a request is in memory: in the call, in its serialized
+/// form while that is sent to an upstream, and once more while that is made.
+inline constexpr size_t kBodyCopies = 3;
+
 /// Settings of a server. The timeouts apply to reading a request head, to one
 /// blocked write and to an idle connection or a request body.
 struct ServerSettings {
@@ -56,6 +65,11 @@
   std::chrono::milliseconds read_timeout{10000};
   std::chrono::milliseconds write_timeout{10000};
   std::chrono::milliseconds keep_alive{30000};
+  /// What all connections of the server may take; nullopt: no limit.
+  std::optional<net::ResourceShare> share;
+  /// Called on the server's thread with the reason for which a connection, a
+  /// request or a response was refused or ended for want of room.
+  std::function<void(std::string_view reason)> on_shed;
   /// PEM files; empty means no TLS.
   std::string certificate_file;
   std::string key_file;
--- a/Source/Core/Http/response_channel.cc
+++ b/Source/Core/Http/response_channel.cc
@@ -14,8 +14,11 @@
 }  // namespace
 
 ResponseChannel::ResponseChannel(net::EventLoop* loop,
-                                 net::ServerConnection::Ptr connection)
-    : loop_(loop), connection_(std::move(connection)) {}
+                                 net::ServerConnection::Ptr connection,
+                                 net::MemoryReservation request_memory)
+    : loop_(loop),
+      connection_(std::move(connection)),
+      request_memory_(std::move(request_memory)) {}
 
 void ResponseChannel::MarkDisconnected() {
   {
@@ -48,22 +51,23 @@
     }
     unaccepted_bytes_ += bytes.size();
   }
-  loop_->Post([self = shared_from_this(), bytes = std::move(bytes)] {
-    self->WriteToConnection(bytes);
+  loop_->Post([self = shared_from_this(), bytes = std::move(bytes)]() mutable {
+    self->WriteToConnection(std::move(bytes));
   });
   return true;
 }
 
-void ResponseChannel::WriteToConnection(const std::string& bytes) {
+void ResponseChannel::WriteToConnection(std::string bytes) {
   if (connection_ == nullptr) {
     return;
   }
-  connection_->Write(bytes);
+  size_t n = bytes.size();
+  connection_->WriteOwned(std::move(bytes));
   if (!connection_->is_write_buffer_full()) {
-    OnAccepted(bytes.size());
+    OnAccepted(n);
     return;
   }
-  backpressured_bytes_ += bytes.size();
+  backpressured_bytes_ += n;
   connection_->SetWritableHandler([weak = weak_from_this()] {
     if (auto self = weak.lock()) {
       self->OnAccepted(std::exchange(self->backpressured_bytes_, 0));
@@ -81,6 +85,7 @@
 
 void ResponseChannel::End(bool keep_alive) {
   loop_->Post([self = shared_from_this(), keep_alive] {
+    self->request_memory_.Release();
     if (auto connection = std::exchange(self->connection_, nullptr)) {
       connection->EndResponse(keep_alive);
     }
@@ -90,6 +95,7 @@
 void ResponseChannel::Abort() {
   MarkDisconnected();
   loop_->Post([self = shared_from_this()] {
+    self->request_memory_.Release();
     if (auto connection = std::exchange(self->connection_, nullptr)) {
       connection->Abort();
     }
--- a/Source/Core/Http/response_channel.h
+++ b/Source/Core/Http/response_channel.h
@@ -15,8 +15,10 @@
 /// not. Thread safe.
 class ResponseChannel : public std::enable_shared_from_this<ResponseChannel> {
  public:
-  /// Pre: called on the thread of the loop; the loop outlives the channel.
-  ResponseChannel(net::EventLoop* loop, net::ServerConnection::Ptr connection);
+  /// `request_memory` is given back when the response has ended. Pre: called on
+  /// the thread of the loop; the loop outlives the channel.
+  ResponseChannel(net::EventLoop* loop, net::ServerConnection::Ptr connection,
+                  net::MemoryReservation request_memory);
 
   /// Records that the caller has disconnected or the server stops, and wakes a
   /// blocked writer. Thread safe.
@@ -35,12 +37,14 @@
   void Abort();
 
  private:
-  void WriteToConnection(const std::string& bytes);
+  void WriteToConnection(std::string bytes);
   void OnAccepted(size_t bytes);
 
   net::EventLoop* loop_;
   // Used and released only on the loop thread, as it owns a socket.
   net::ServerConnection::Ptr connection_;
+  // Used only on the loop thread.
+  net::MemoryReservation request_memory_;
   // Bytes written while the write buffer was full. Used only on the loop
   // thread.
   size_t backpressured_bytes_ = 0;
--- a/Source/Core/Http/server_exchange.h
+++ b/Source/Core/Http/server_exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "Core/Http/http_server.h"
 #include "Core/Http/response_channel.h"
@@ -24,6 +25,7 @@
   ServerExchange& operator=(const ServerExchange&) = delete;
 
   const Request& request() const override { return request_; }
+  std::string TakeBody() override { return std::move(request_.body); }
   bool body_too_large() const override { return body_too_large_; }
   void Reply(int status, const Headers& headers,
              std::string_view body) override;
--- a/Source/Core/Net/memory_budget.h
+++ b/Source/Core/Net/memory_budget.h
@@ -31,6 +31,8 @@
   }
   /// Not thread safe.
   size_t limit() const { return limit_; }
+  /// Bytes that a single request of a caller may take. Not thread safe.
+  size_t largest_request() const { return caller_limit_for_large_; }
   /// Bytes reserved for all uses together. Not thread safe.
   size_t used() const { return used_; }
   /// Not thread safe.
--- a/Source/Core/Net/server_connection.cc
+++ b/Source/Core/Net/server_connection.cc
@@ -171,8 +171,7 @@
       ReserveRequest(1);
       return;
     }
-    // One more copy is sent to an upstream.
-    if (!ReserveRequest(2)) {
+    if (!ReserveRequest(limits_.body_copies)) {
       return;
     }
     DeliverRequest(/*body_too_large=*/false);
--- a/Source/Core/Net/server_connection.h
+++ b/Source/Core/Net/server_connection.h
@@ -22,6 +22,9 @@
   /// Passes a request whose body is too large to the handler, without its body
   /// and as the last of its connection, instead of responding with status 413.
   bool deliver_oversized = false;
+  /// How many times the handler keeps the body of a request, the received one
+  /// included. That much memory is reserved for it.
+  size_t body_copies = 2;
 };
 
 /// A completely received request.
--- a/Source/Core/Observe/metrics.cc
+++ b/Source/Core/Observe/metrics.cc
@@ -55,6 +55,11 @@
           .Name("basilvalve_store_calls_total")
           .Help("Calls to the key-value service by kind.")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& shed =
+      prometheus::BuildCounter()
+          .Name("basilvalve_shed_total")
+          .Help("What was refused or ended for want of room, by address.")
+          .Register(registry);
   prometheus::Histogram& time_to_first_token =
       AddHistogram(&registry, "basilvalve_first_token_seconds",
                    "Time from arrival to the first token sent.",
@@ -131,6 +136,12 @@
   series_->store_calls.Add({{"kind", std::string(kind)}}).Increment();
 }
 
+void Metrics::CountShed(std::string_view address, std::string_view reason) {
+  series_->shed
+      .Add({{"address", std::string(address)}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
 void Metrics::CountControlBytes(uint64_t bytes) {
   series_->control_bytes.Increment(static_cast<double>(bytes));
 }
--- a/Source/Core/Observe/metrics.h
+++ b/Source/Core/Observe/metrics.h
@@ -40,6 +40,9 @@
   /// Counts a call to the key-value service; `kind` is its label value. Thread
   /// safe.
   void CountStoreCall(std::string_view kind);
+  /// Counts what was refused or ended at an address for want of room. Thread
+  /// safe.
+  void CountShed(std::string_view address, std::string_view reason);
   /// Counts bytes of control messages sent to other instances. Thread safe.
   void CountControlBytes(uint64_t bytes);
   /// Sets the number of in-flight requests. Thread safe.
--- a/Source/UnitTests/Core/Gateway/node_settings_test.cc
+++ b/Source/UnitTests/Core/Gateway/node_settings_test.cc
@@ -80,6 +80,12 @@
       {{"--caller-threads", "400"},
        "--caller-threads: must be above max-in-flight"},
       {{"--peer-dead-ms", "500"}, "--peer-dead-ms: must be above heartbeat-ms"},
+      {{"--max-descriptors", "2048"},
+       "--max-descriptors: too few for max-in-flight and peer-workers"},
+      {{"--max-body-bytes", "100000000"},
+       "--memory-mb: too small for a request of max-body-bytes"},
+      {{"--memory-mb", "64"},
+       "--memory-mb: too small for a response of max-answer-bytes"},
       {{"--tls-certificate", "x.pem"},
        "--tls-key: must be set if and only if tls-certificate is set"},
   };
--- a/Source/UnitTests/Core/Http/http_server_test.cc
+++ b/Source/UnitTests/Core/Http/http_server_test.cc
@@ -92,6 +92,19 @@
     REQUIRE(::write(fd, request.data(), request.size()) > 0);
     return fd;
   }
+  /// Sends a request that closes its connection and returns the response.
+  std::string Ask(const std::string& request) const {
+    int fd = ConnectTo(server->endpoint());
+    REQUIRE(::write(fd, request.data(), request.size()) ==
+            static_cast<ssize_t>(request.size()));
+    std::string got;
+    char buf[4096];
+    for (ssize_t n = 0; (n = ::read(fd, buf, sizeof(buf))) > 0;) {
+      got.append(buf, static_cast<size_t>(n));
+    }
+    ::close(fd);
+    return got;
+  }
   bool RespondsOverTls() const;
 
   TestCertificate certificate;
@@ -180,15 +193,7 @@
   for (int i = 0; i < 5; ++i) {
     row += "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
   }
-  int fd = ConnectTo(f.server->endpoint());
-  row += kGetRequest;
-  REQUIRE(::write(fd, row.data(), row.size()) > 0);
-  std::string got;
-  char buf[4096];
-  for (ssize_t n = 0; (n = ::read(fd, buf, sizeof(buf))) > 0;) {
-    got.append(buf, static_cast<size_t>(n));
-  }
-  ::close(fd);
+  std::string got = f.Ask(row + kGetRequest);
   size_t responses = 0;
   for (size_t at = got.find("size 1"); at != std::string::npos;
        at = got.find("size 1", at + 1)) {
@@ -210,6 +215,55 @@
   ::close(fd);
 }
 
+// Guards against clients that keep all connections with unfinished handshakes.
+TEST_CASE("unfinished handshakes give way to new connections") {
+  Fixture f(/*tls=*/true);
+  std::atomic<int> shed{0};
+  f.settings.share = net::ResourceShare{size_t{4} << 20, 4};
+  f.settings.on_shed = [&shed](std::string_view reason) {
+    shed += reason == "idle_connection" ? 1 : 0;
+  };
+  f.Start();
+  // A record header that announces a ClientHello, and a part of that.
+  const std::string start("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11);
+  std::vector<int> unfinished;
+  for (int i = 0; i < 20; ++i) {
+    int fd = ConnectTo(f.server->endpoint());
+    CHECK(::write(fd, start.data(), start.size()) > 0);
+    unfinished.push_back(fd);
+  }
+  CHECK(f.RespondsOverTls());
+  CHECK(WaitFor([&] { return shed == 17; }));
+  for (int fd : unfinished) {
+    ::close(fd);
+  }
+}
+
+// Guards against memory that counts as free while handlers still use it.
+TEST_CASE("the memory of a request is taken until its response has ended") {
+  Fixture f(/*tls=*/false);
+  f.settings.share = net::ResourceShare{size_t{1} << 20, 100};
+  f.Start();
+  // Two of these do not fit.
+  const std::string body(150'000, 'b');
+  auto post = [&](const std::string& path) {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  auto is_served = [&f](const std::string& request) {
+    return f.Ask(request).find("200 OK") != std::string::npos;
+  };
+  std::thread first([&] { is_served(post("/wait")); });
+  REQUIRE(WaitFor([&] { return f.handler.calls == 1; }));
+  CHECK(f.Ask(post("/")).find("503") != std::string::npos);
+  CHECK(is_served(kGetRequest));
+  CHECK(f.handler.calls == 2);
+  f.handler.released = true;
+  first.join();
+  CHECK(WaitFor([&] { return is_served(post("/")); }));
+}
+
 TEST_CASE("an unreadable certificate file is named in the start error") {
   Fixture f(/*tls=*/true);
   f.settings.certificate_file = "/nonexistent.pem";
