--- a/Source/Core/Gateway/caller_api.cc
+++ b/Source/Core/Gateway/caller_api.cc
@@ -17,11 +17,16 @@
 /// response at once when it is complete.
 class ExchangeSink : public CallResponseSink {
  public:
+  /// `buffers` must outlive the sink.
   ExchangeSink(http::Exchange* exchange, http::Headers headers,
-               size_t max_bytes)
+               size_t max_bytes, ResponseBuffers* buffers)
       : exchange_(exchange),
         headers_(std::move(headers)),
-        max_bytes_(max_bytes) {}
+        max_bytes_(max_bytes),
+        buffers_(buffers) {}
+  ~ExchangeSink() override { buffers_->Remove(reserved_); }
+  ExchangeSink(const ExchangeSink&) = delete;
+  ExchangeSink& operator=(const ExchangeSink&) = delete;
 
   bool Begin(const peer::ResponseHead& head) override {
     head_ = head;
@@ -40,8 +45,11 @@
     if (streaming_) {
       return exchange_->WriteStream(chunk);
     }
-    body_.append(chunk);
-    too_large_ = too_large_ || body_.size() > max_bytes_;
+    too_large_ = too_large_ || body_.size() + chunk.size() > max_bytes_ ||
+                 !Reserve(chunk.size());
+    if (!too_large_) {
+      body_.append(chunk);
+    }
     return !too_large_;
   }
 
@@ -71,9 +79,21 @@
   bool too_large() const { return too_large_; }
 
  private:
+  /// Takes memory for `n` more bytes of the body, and for their copy when it is
+  /// sent.
+  bool Reserve(size_t n) {
+    if (!buffers_->TryAdd(2 * n)) {
+      return false;
+    }
+    reserved_ += 2 * n;
+    return true;
+  }
+
   http::Exchange* exchange_;
   http::Headers headers_;
   size_t max_bytes_;
+  ResponseBuffers* buffers_;
+  size_t reserved_ = 0;
   peer::ResponseHead head_;
   std::string body_;
   bool streaming_ = false;
@@ -150,7 +170,8 @@
   // report kRunning.
   ExchangeSink sink(
       exchange, ResponseHeaders(call.id, Outcome::kRunning, ResultCode::kOk),
-      static_cast<size_t>(parts_->settings->max_answer_bytes));
+      static_cast<size_t>(parts_->settings->max_answer_bytes),
+      parts_->response_buffers);
   CallResult result = RunCall(&call, &sink);
   if (sink.too_large()) {
     result = ResultFromError(
--- a/Source/Core/Gateway/node_parts.h
+++ b/Source/Core/Gateway/node_parts.h
@@ -12,6 +12,7 @@
 #include "Core/Common/random.h"
 #include "Core/Document/document_catalog.h"
 #include "Core/Gateway/node_settings.h"
+#include "Core/Gateway/response_buffers.h"
 #include "Core/Observe/metrics.h"
 #include "Core/Observe/request_journal.h"
 #include "Core/Observe/trace_context.h"
@@ -70,6 +71,7 @@
   peer::PeerClient* peers = nullptr;
   observe::RequestJournal* journal = nullptr;
   observe::Metrics* metrics = nullptr;
+  ResponseBuffers* response_buffers = nullptr;
   std::atomic<bool>* draining = nullptr;
 };
 
--- a/Source/Core/Gateway/node_state.cc
+++ b/Source/Core/Gateway/node_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Core/Gateway/node_shares.h"
+
 namespace basilvalve::gateway {
 namespace {
 
@@ -38,6 +40,10 @@
   return limits;
 }
 
+size_t ResponseBytesOf(const NodeSettings& settings) {
+  return NodeShares::Create(settings).value_or(NodeShares()).response_bytes;
+}
+
 }  // namespace
 
 NodeState::NodeState(const NodeSettings& settings, const Clock* clock,
@@ -55,7 +61,8 @@
       retry_budget_({}),
       upstreams_({}, {}),
       prefix_index_(kPrefixIndexCapacity),
-      router_(RoutingSettingsOf(settings), seed) {
+      router_(RoutingSettingsOf(settings), seed),
+      response_buffers_(ResponseBytesOf(settings)) {
   parts_.settings = &settings_;
   parts_.clock = clock;
   parts_.keyring = keyring;
@@ -75,6 +82,7 @@
   parts_.router = &router_;
   parts_.journal = &journal_;
   parts_.metrics = &metrics_;
+  parts_.response_buffers = &response_buffers_;
   parts_.draining = &draining_;
 }
 
--- a/Source/Core/Gateway/node_state.h
+++ b/Source/Core/Gateway/node_state.h
@@ -41,6 +41,7 @@
   routing::UpstreamTable upstreams_;
   routing::PrefixIndex prefix_index_;
   routing::Router router_;
+  ResponseBuffers response_buffers_;
   std::atomic<bool> draining_{false};
   NodeParts parts_;
 };
