--- a/Source/BasilvalveProcessSoak/client_load.cc
+++ b/Source/BasilvalveProcessSoak/client_load.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr size_t kMaxBodyBytes = size_t{4} * 1024 * 1024;
+// A client that has read this much is offered a large window by the kernel.
+constexpr size_t kEagerBytes = size_t{2} * 1024 * 1024;
 constexpr int64_t kStepMs = 20;
 
 }  // namespace
@@ -15,6 +17,23 @@
   cases_.push_back({std::move(name), std::move(play), limits});
 }
 
+void ClientLoad::AddCommonCases(const MachineLimits& limits) {
+  AddCase("large-chunks", limits,
+          [this] { crowd_->SendLargeChunks(kOrdinaryPart); });
+  AddCase("small-chunks", limits,
+          [this] { crowd_->SendSmallChunks(kOrdinaryPart); });
+  AddCase("announced-bodies", limits,
+          [this] { crowd_->SendAnnouncedBodies(kOrdinaryPart); });
+  AddCase("unannounced-bodies", limits,
+          [this] { crowd_->SendUnannouncedBodies(kOrdinaryPart); });
+  AddCase("slow-heads", limits,
+          [this] { crowd_->SendSlowHeads(kOrdinaryPart); });
+  AddCase("returning-heads", limits,
+          [this] { crowd_->ReturnWithSlowHeads(kOrdinaryPart); });
+  AddCase("slow-readers", limits,
+          [this] { crowd_->ReadSlowly(kLargePart, kEagerBytes); });
+}
+
 std::string ClientLoad::CaseNames() const {
   std::string names;
   for (const Case& it : cases_) {
--- a/Source/BasilvalveProcessSoak/client_load.h
+++ b/Source/BasilvalveProcessSoak/client_load.h
@@ -37,6 +37,8 @@
   ClientLoad() = default;
   void AddCase(std::string name, const MachineLimits& limits,
                std::function<void()> play);
+  /// Adds the cases at the callers' address that every process plays alike.
+  void AddCommonCases(const MachineLimits& limits);
 
   /// Starts the process with the limits of the case and waits until it serves.
   virtual bool Start(const Case& row) = 0;
--- a/Source/BasilvalveProcessSoak/daemon_load.cc
+++ b/Source/BasilvalveProcessSoak/daemon_load.cc
@@ -16,12 +16,12 @@
 using nlohmann::json;
 
 constexpr MachineLimits kLimits{96, 400};
-constexpr int kMaxBodyBytes = 4 * 1024 * 1024;
-// A client that has read this much is offered a large window by the kernel.
-constexpr size_t kEagerBytes = size_t{2} * 1024 * 1024;
-constexpr size_t kLargeBytes = size_t{4} * 1024 * 1024 - 64 * 1024;
-constexpr int kMaxAnswerBytes = 6 * 1024 * 1024;
-constexpr size_t kStalledBytes = size_t{6} * 1024 * 1024 - 64 * 1024;
+constexpr size_t kKilobyte = 1024;
+constexpr size_t kMegabyte = 1024 * kKilobyte;
+constexpr size_t kMaxBodyBytes = 4 * kMegabyte;
+constexpr size_t kLargeBytes = 4 * kMegabyte - 64 * kKilobyte;
+constexpr size_t kMaxAnswerBytes = 6 * kMegabyte;
+constexpr size_t kStalledBytes = kMaxAnswerBytes - 64 * kKilobyte;
 constexpr size_t kOrdinaryBytes = 800;
 // Their responses are larger than the machine's memory.
 constexpr int kPipelinedRequests = 16;
@@ -90,20 +90,9 @@
 }
 
 void DaemonLoad::AddCallerCases() {
-  AddCase("large-chunks", kLimits,
-          [this] { crowd().SendLargeChunks(kOrdinaryPart); });
-  AddCase("small-chunks", kLimits,
-          [this] { crowd().SendSmallChunks(kOrdinaryPart); });
-  AddCase("announced-bodies", kLimits,
-          [this] { crowd().SendAnnouncedBodies(kOrdinaryPart); });
-  AddCase("unannounced-bodies", kLimits,
-          [this] { crowd().SendUnannouncedBodies(kOrdinaryPart); });
+  AddCommonCases(kLimits);
   AddCase("whole-bodies", kLimits,
           [this] { crowd().SendWholeBodies(kEndlessPart); });
-  AddCase("slow-heads", kLimits,
-          [this] { crowd().SendSlowHeads(kOrdinaryPart); });
-  AddCase("returning-heads", kLimits,
-          [this] { crowd().ReturnWithSlowHeads(kOrdinaryPart); });
   AddCase("unread-responses", kLimits, [this] {
     crowd().LeaveUnread(kLargePart, 1);
     WaitUntil([this] { return crowd().HasResponses(); });
@@ -112,8 +101,6 @@
     crowd().LeaveUnread(kLargePart, kPipelinedRequests);
     WaitUntil([this] { return crowd().HasResponses(); });
   });
-  AddCase("slow-readers", kLimits,
-          [this] { crowd().ReadSlowly(kLargePart, kEagerBytes); });
   AddCase("stalled-responses", kLimits, [this] {
     crowd().LeaveUnread(kStalledPart, 1);
     WaitUntil([this] { return crowd().HasResponses(); });
--- a/Source/BasilvalveProcessSoak/gateway_load.cc
+++ b/Source/BasilvalveProcessSoak/gateway_load.cc
@@ -6,8 +6,6 @@
 constexpr MachineLimits kLimits{64, 400};
 // The smallest machine of the platform.
 constexpr MachineLimits kSmallestMachine{120, 3075};
-// A client that has read this much is offered a large window by the kernel.
-constexpr size_t kEagerBytes = size_t{2} * 1024 * 1024;
 // Their responses are larger than the machine's memory.
 constexpr int kPipelinedRequests = 5000;
 constexpr int kReadyTimeoutMs = 30'000;
@@ -23,24 +21,11 @@
 }
 
 void GatewayLoad::AddCallerCases() {
-  AddCase("large-chunks", kLimits,
-          [this] { crowd().SendLargeChunks(kOrdinaryPart); });
-  AddCase("small-chunks", kLimits,
-          [this] { crowd().SendSmallChunks(kOrdinaryPart); });
-  AddCase("announced-bodies", kLimits,
-          [this] { crowd().SendAnnouncedBodies(kOrdinaryPart); });
-  AddCase("unannounced-bodies", kLimits,
-          [this] { crowd().SendUnannouncedBodies(kOrdinaryPart); });
-  AddCase("slow-heads", kLimits,
-          [this] { crowd().SendSlowHeads(kOrdinaryPart); });
+  AddCommonCases(kLimits);
   AddCase("unread-responses", kLimits, [this] { LeaveResponsesUnread(); });
   AddCase("endless-responses", kLimits, [this] { AskForEndlessResponses(); });
   AddCase("one-large-request", kSmallestMachine,
           [this] { SendOneLargeRequest(kOrdinaryPart); });
-  AddCase("returning-heads", kLimits,
-          [this] { crowd().ReturnWithSlowHeads(kOrdinaryPart); });
-  AddCase("slow-readers", kLimits,
-          [this] { crowd().ReadSlowly(kLargePart, kEagerBytes); });
 }
 
 void GatewayLoad::AddStatusCases() {
--- a/Source/Core/Net/server_connections.cc
+++ b/Source/Core/Net/server_connections.cc
@@ -31,12 +31,12 @@
 
 ServerConnections::ServerConnections(
     EventLoop* loop, ConnectionBudgets budgets,
-    ServerConnectionsSettings settings,
+    const ServerConnectionsSettings& settings,
     ServerConnection::RequestHandler on_request,
     ServerConnection::ClosedFn on_closed, ShedFn on_shed)
     : loop_(loop),
       budgets_(std::move(budgets)),
-      settings_(std::move(settings)),
+      settings_(settings),
       on_request_(std::move(on_request)),
       on_closed_(std::move(on_closed)),
       on_shed_(std::move(on_shed)) {}
--- a/Source/Core/Net/server_connections.h
+++ b/Source/Core/Net/server_connections.h
@@ -59,7 +59,7 @@
   /// `loop` must outlive the object. Without a budget there is no limit.
   /// `on_closed` is called before a closed connection is removed.
   ServerConnections(EventLoop* loop, ConnectionBudgets budgets,
-                    ServerConnectionsSettings settings,
+                    const ServerConnectionsSettings& settings,
                     ServerConnection::RequestHandler on_request,
                     ServerConnection::ClosedFn on_closed, ShedFn on_shed);
   ServerConnections(const ServerConnections&) = delete;
