basilvalved: the port for other instances holds a limited number of connections

Cause: PeerServer accepted without a limit; a connection without streams is closed after 60 s.

Change: NodeShares gives 1/8 of the connections to that port, divided among the reactor's shards.

--- a/Source/BasilvalveProcessSoak/daemon_load.cc
+++ b/Source/BasilvalveProcessSoak/daemon_load.cc
@@ -86,7 +86,7 @@
   ip_ = "127." + std::to_string(20 + getpid() % 200) + "." +
         std::to_string(1 + getpid() / 200 % 250) + ".1";
   AddCallerCases();
-  AddAdminCases();
+  AddOtherCases();
 }
 
 void DaemonLoad::AddCallerCases() {
@@ -109,11 +109,15 @@
           [this] { SendOneLargeRequest(kOrdinaryPart); });
 }
 
-void DaemonLoad::AddAdminCases() {
+void DaemonLoad::AddOtherCases() {
   AddCase("admin-crowd", kLimits, [this] {
     MoveCrowd(Admin());
     crowd().ReturnWithSlowHeads("");
   });
+  AddCase("peer-crowd", kLimits, [this] {
+    MoveCrowd({ip_, PortAt(kPeerPort), {}});
+    crowd().ConnectMany();
+  });
   AddCase("admin-bodies", kLimits, [this] {
     MoveCrowd(Admin());
     crowd().SendLargeChunks("");
--- a/Source/BasilvalveProcessSoak/daemon_load.h
+++ b/Source/BasilvalveProcessSoak/daemon_load.h
@@ -37,7 +37,8 @@
   std::vector<CrowdTarget> OtherAddresses() override;
 
   void AddCallerCases();
-  void AddAdminCases();
+  /// Cases at the addresses for operators and other instances.
+  void AddOtherCases();
   bool StartStandIns();
   void Launch(const Case& row);
   bool ApplyDocument() const;
--- a/Source/Core/Gateway/node.cc
+++ b/Source/Core/Gateway/node.cc
@@ -32,6 +32,11 @@
   peer::PeerSettings peer;
   peer.heartbeat_interval = Millis(settings.heartbeat_ms);
   peer.silence_timeout = Millis(settings.peer_dead_ms);
+  if (auto shares = NodeShares::Create(settings)) {
+    peer.max_accepted =
+        std::max<size_t>(1, shares->peer_connections /
+                                static_cast<size_t>(settings.peer_threads));
+  }
   return peer;
 }
 
--- a/Source/Core/Gateway/node_shares.cc
+++ b/Source/Core/Gateway/node_shares.cc
@@ -10,8 +10,9 @@
 constexpr size_t kAdminPercent = 10;
 constexpr size_t kResponsePercent = 30;
 constexpr size_t kPercent = 100;
-// The admin address has this part of the connections.
+// Parts of the connections.
 constexpr size_t kAdminPart = 16;
+constexpr size_t kPeerPart = 8;
 // A running call has an event loop of its own, with three descriptors, and a
 // connection to an upstream.
 constexpr size_t kDescriptorsPerCall = 4;
@@ -33,7 +34,9 @@
   shares.response_bytes = bytes * kResponsePercent / kPercent;
   shares.callers.buffer_bytes =
       bytes - shares.admin.buffer_bytes - shares.response_bytes;
-  size_t others = shares.admin.connections + kDescriptorsPerCall * calls;
+  shares.peer_connections = connections / kPeerPart;
+  size_t others = shares.admin.connections + shares.peer_connections +
+                  kDescriptorsPerCall * calls;
   if (connections < others + kMinCallers) {
     return Fail(ResultCode::kSettingInvalid,
                 "--max-descriptors: too few for max-in-flight and "
--- a/Source/Core/Gateway/node_shares.h
+++ b/Source/Core/Gateway/node_shares.h
@@ -11,6 +11,8 @@
 struct NodeShares {
   net::ResourceShare callers;
   net::ResourceShare admin;
+  /// Accepted connections of other instances.
+  size_t peer_connections = 0;
   /// Bytes of responses that are buffered until they are complete.
   size_t response_bytes = 0;
 
--- a/Source/Core/Peer/peer_connection.h
+++ b/Source/Core/Peer/peer_connection.h
@@ -37,6 +37,8 @@
   /// Outbound bytes of a stream at which further writes block.
   size_t send_buffer_bytes = 64 << 10;
   uint32_t max_streams = 2000;
+  /// Accepted connections that a reactor shard holds at most.
+  size_t max_accepted = SIZE_MAX;
 };
 
 /// State of one stream. All members are guarded by the mutex of the reactor
@@ -93,6 +95,8 @@
   bool dead() const { return dead_; }
   bool WantsWrite() const;
   bool HasStreams() const { return !streams_.empty(); }
+  /// When the connection last had a stream, or was created.
+  Instant last_active() const { return last_active_; }
 
   /// Starts a request stream. Returns null if the connection is closed or
   /// nghttp2 rejects the request.
--- a/Source/Core/Peer/peer_reactor.cc
+++ b/Source/Core/Peer/peer_reactor.cc
@@ -77,6 +77,28 @@
   (void)n;
 }
 
+bool ReactorShard::HasRoom() {
+  {
+    std::lock_guard lock(mutex_);
+    if (accepted_.size() < settings_.max_accepted) {
+      return true;
+    }
+    Connection* longest = nullptr;
+    for (const auto& it : accepted_) {
+      if (!it->dead() && !it->HasStreams() &&
+          (longest == nullptr || it->last_active() < longest->last_active())) {
+        longest = it.get();
+      }
+    }
+    if (longest != nullptr) {
+      longest->Close();
+    }
+  }
+  // The shard's thread closes the socket.
+  Wake();
+  return false;
+}
+
 void ReactorShard::AddAccepted(int fd, Connection::OnRequest on_request) {
   {
     std::lock_guard lock(mutex_);
--- a/Source/Core/Peer/peer_reactor.h
+++ b/Source/Core/Peer/peer_reactor.h
@@ -31,6 +31,10 @@
   std::mutex& mutex() { return mutex_; }
   /// Wakes the thread so that it sends queued frames. Thread safe.
   void Wake();
+  /// Whether one more socket may be accepted. If not, closes the connection
+  /// that has had no streams for the longest time, so that there will be room
+  /// soon. Thread safe.
+  bool HasRoom();
   /// Takes ownership of an accepted, non-blocking socket. Thread safe.
   void AddAccepted(int fd, Connection::OnRequest on_request);
   /// The connection to an endpoint; a new one is started, without waiting for
--- a/Source/Core/Peer/peer_server.cc
+++ b/Source/Core/Peer/peer_server.cc
@@ -12,6 +12,7 @@
 
 constexpr int kListenBacklog = 512;
 constexpr int kAcceptPollMs = 100;
+constexpr Millis kRoomPollPeriod{5};
 
 }  // namespace
 
@@ -196,6 +197,12 @@
     if (::poll(&poll_fd, 1, kAcceptPollMs) <= 0) {
       continue;
     }
+    ReactorShard* shard = &reactor_->NextShard();
+    if (!shard->HasRoom()) {
+      // The socket waits in the kernel until another one is closed.
+      std::this_thread::sleep_for(kRoomPollPeriod);
+      continue;
+    }
     int fd =
         ::accept4(listen_fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -203,7 +210,6 @@
     }
     int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    ReactorShard* shard = &reactor_->NextShard();
     shard->AddAccepted(fd, [this, shard](const StreamPtr& stream) {
       OnRequest(shard, stream);
     });
