basilvalved: the division of the machine is made once, body copies are a setting

Cause: Node divided the machine in two places and swallowed the error in one; http::Server knew how often the gateway's handlers keep a body.

Change: Node::Start creates NodeShares and reports its error; ServerSettings has body_copies, which the gateway sets next to its shares.

--- a/Source/Core/Gateway/node.cc
+++ b/Source/Core/Gateway/node.cc
@@ -5,7 +5,6 @@
 #include <thread>
 
 #include "Core/Common/log.h"
-#include "Core/Gateway/node_shares.h"
 #include "Core/Platform/http_client_directory.h"
 #include "Core/Platform/http_instance_list.h"
 #include "Core/Platform/http_key_value_store.h"
@@ -28,15 +27,13 @@
   return endpoint;
 }
 
-peer::PeerSettings PeerSettingsOf(const NodeSettings& settings) {
+peer::PeerSettings PeerSettingsOf(const NodeSettings& settings,
+                                  const NodeShares& shares) {
   peer::PeerSettings peer;
   peer.heartbeat_interval = Millis(settings.heartbeat_ms);
   peer.silence_timeout = Millis(settings.peer_dead_ms);
-  if (auto shares = NodeShares::Create(settings)) {
-    peer.max_accepted =
-        std::max<size_t>(1, shares->peer_connections /
-                                static_cast<size_t>(settings.peer_threads));
-  }
+  peer.max_accepted = std::max<size_t>(
+      1, shares.peer_connections / static_cast<size_t>(settings.peer_threads));
   return peer;
 }
 
@@ -70,14 +67,16 @@
   return platform;
 }
 
-Node::Node(const NodeSettings& settings, NodePlatform platform, Keyring keyring)
+Node::Node(const NodeSettings& settings, const NodeShares& shares,
+           NodePlatform platform, Keyring keyring)
     : settings_(settings),
+      shares_(shares),
       platform_(std::move(platform)),
       keyring_(std::move(keyring)),
       state_(settings_, &clock_, &keyring_, platform_.store.get(),
              Incarnation(WallMillis()), ProcessSeed()),
       parts_(state_.parts()),
-      reactor_(PeerSettingsOf(settings),
+      reactor_(PeerSettingsOf(settings, shares),
                static_cast<size_t>(settings.peer_threads), &clock_),
       peers_(&reactor_, &keyring_) {
   parts_.peers = &peers_;
@@ -89,8 +88,12 @@
   if (!keyring) {
     return tl::make_unexpected(keyring.error());
   }
+  Result<NodeShares> shares = NodeShares::Create(settings);
+  if (!shares) {
+    return tl::make_unexpected(shares.error());
+  }
   std::unique_ptr<Node> node(
-      new Node(settings, std::move(platform), std::move(*keyring)));
+      new Node(settings, *shares, std::move(platform), std::move(*keyring)));
   Result<void> started = node->Init();
   if (!started) {
     return tl::make_unexpected(started.error());
@@ -171,12 +174,8 @@
       &parts_, document_sync_.get(), entry_advisor_.get(), explainer_.get(),
       [this] { BeginDrain(); });
   std::string reason;
-  Result<NodeShares> shares = NodeShares::Create(settings_);
-  if (!shares) {
-    return tl::make_unexpected(shares.error());
-  }
   http::ServerSettings admin;
-  admin.share = shares->admin;
+  admin.share = shares_.admin;
   admin.on_shed = [this](std::string_view cause) {
     parts_.metrics->CountShed("admin", cause);
   };
@@ -188,7 +187,8 @@
     return Fail(ResultCode::kSettingInvalid, "--admin-address: " + reason);
   }
   http::ServerSettings caller;
-  caller.share = shares->callers;
+  caller.share = shares_.callers;
+  caller.body_copies = kBodyCopies;
   caller.on_shed = [this](std::string_view cause) {
     parts_.metrics->CountShed("caller", cause);
   };
--- a/Source/Core/Gateway/node.h
+++ b/Source/Core/Gateway/node.h
@@ -12,6 +12,7 @@
 #include "Core/Gateway/caller_api.h"
 #include "Core/Gateway/cluster.h"
 #include "Core/Gateway/document_sync.h"
+#include "Core/Gateway/node_shares.h"
 #include "Core/Gateway/node_state.h"
 #include "Core/Gateway/peer_api.h"
 #include "Core/Gateway/platform_poller.h"
@@ -63,7 +64,8 @@
   http::Endpoint peer_endpoint() const { return peer_server_->endpoint(); }
 
  private:
-  Node(const NodeSettings& settings, NodePlatform platform, Keyring keyring);
+  Node(const NodeSettings& settings, const NodeShares& shares,
+       NodePlatform platform, Keyring keyring);
 
   Result<void> Init();
   Result<void> StartCluster();
@@ -74,6 +76,7 @@
   void Handle(http::Exchange* exchange) override;
 
   NodeSettings settings_;
+  NodeShares shares_;
   NodePlatform platform_;
   Keyring keyring_;
   SteadyClock clock_;
--- a/Source/Core/Gateway/node_shares.cc
+++ b/Source/Core/Gateway/node_shares.cc
@@ -1,6 +1,5 @@
 #include "Core/Gateway/node_shares.h"
 
-#include "Core/Http/http_server.h"
 #include "Core/Net/memory_budget.h"
 
 namespace basilvalve::gateway {
@@ -45,7 +44,7 @@
   shares.callers.connections = connections - others;
   net::MemoryBudget callers(shares.callers.buffer_bytes);
   if (callers.largest_request() <
-      http::kBodyCopies * static_cast<size_t>(settings.max_body_bytes)) {
+      kBodyCopies * static_cast<size_t>(settings.max_body_bytes)) {
     return Fail(ResultCode::kSettingInvalid,
                 "--memory-mb: too small for a request of max-body-bytes");
   }
--- a/Source/Core/Gateway/node_shares.h
+++ b/Source/Core/Gateway/node_shares.h
@@ -7,6 +7,10 @@
 
 namespace basilvalve::gateway {
 
+/// How often the body of a call is in memory: in the call, in its serialized
+/// form while that is sent to an upstream, and once more while that is made.
+inline constexpr size_t kBodyCopies = 3;
+
 /// What each part of an instance may take.
 struct NodeShares {
   net::ResourceShare callers;
--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -104,7 +104,7 @@
     limits.header_bytes = kMaxHeaderBytes;
     limits.body_bytes = settings.max_body_bytes;
     limits.deliver_oversized = true;
-    limits.body_copies = kBodyCopies;
+    limits.body_copies = settings.body_copies;
     limits.header_timeout = settings.read_timeout;
     limits.idle_timeout = settings.keep_alive;
     return connections;
--- a/Source/Core/Http/http_server.h
+++ b/Source/Core/Http/http_server.h
@@ -52,10 +52,6 @@
   virtual void Handle(Exchange* exchange) = 0;
 };
 
-/// How often the body of a request is in memory: in the call, in its serialized
-/// form while that is sent to an upstream, and once more while that is made.
-inline constexpr size_t kBodyCopies = 3;
-
 /// Settings of a server. The timeouts apply to reading a request head, to one
 /// blocked write and to an idle connection or a request body.
 struct ServerSettings {
@@ -67,6 +63,9 @@
   std::chrono::milliseconds keep_alive{30000};
   /// What all connections of the server may take; nullopt: no limit.
   std::optional<net::ResourceShare> share;
+  /// How many times a handler keeps the body of its request, the received one
+  /// included.
+  size_t body_copies = 1;
   /// Called on the server's thread with the reason for which a connection, a
   /// request or a response was refused or ended for want of room.
   std::function<void(std::string_view reason)> on_shed;
--- a/Source/UnitTests/Core/Http/http_server_test.cc
+++ b/Source/UnitTests/Core/Http/http_server_test.cc
@@ -243,6 +243,7 @@
 TEST_CASE("the memory of a request is taken until its response has ended") {
   Fixture f(/*tls=*/false);
   f.settings.share = net::ResourceShare{size_t{1} << 20, 100};
+  f.settings.body_copies = 3;
   f.Start();
   // Two of these do not fit.
   const std::string body(150'000, 'b');
