basilvalved: the body of a model call is read without a document in memory

Cause: PromptFilter parsed the whole body into a JSON document to read three fields.

Change: ModelRequest::Parse reads model, messages and stream as the parser passes them and skips everything else. Errors, their order and the last of several fields of one name are as before.

--- a/Source/BasilvalveProcessSoak/client_crowd.cc
+++ b/Source/BasilvalveProcessSoak/client_crowd.cc
@@ -150,9 +150,9 @@
   });
 }
 
-void ClientCrowd::SendWholeBodies(const std::string& part) {
+void ClientCrowd::SendWholeBodies(const std::string& part,
+                                  const std::string& body) {
   ConnectBodyClients();
-  std::string body(kUnfinishedBytes, 'b');
   OnThreads(kBodyClients, [&](size_t i) {
     if (channels_[i]) {
       channels_[i]->Write(target_.head("POST", part) + "Content-Length: " +
--- a/Source/BasilvalveProcessSoak/client_crowd.h
+++ b/Source/BasilvalveProcessSoak/client_crowd.h
@@ -43,8 +43,8 @@
   /// Bodies far over the limit.
   void SendAnnouncedBodies(const std::string& part);
   void SendUnannouncedBodies(const std::string& part);
-  /// Complete bodies just below the limit.
-  void SendWholeBodies(const std::string& part);
+  /// Complete bodies.
+  void SendWholeBodies(const std::string& part, const std::string& body);
   /// Opens more connections than the process has descriptors.
   void ConnectMany();
   /// ConnectMany, with a request head on each that arrives slowly.
--- a/Source/BasilvalveProcessSoak/daemon_load.cc
+++ b/Source/BasilvalveProcessSoak/daemon_load.cc
@@ -39,24 +39,49 @@
 constexpr int kAdminPort = 2;
 constexpr int kPorts = 3;
 
-std::string Document() {
+json CommonDocument(const char* name) {
+  return {{"name", name},
+          {"customer", "load"},
+          {"keys", {{{"label", "load"}, {"sha256", Sha256Hex(kKey)}}}},
+          {"regions", {{"permitted", {"east"}}, {"home", "east"}}},
+          {"targets", {{"deadline_ms", kCallMs}}},
+          {"limits", {{"body_bytes", kMaxBodyBytes}}}};
+}
+
+json ModelDocument() {
+  json document = CommonDocument("chat");
+  document["upstream"] = "model";
+  document["models"] = json::array({"m"});
+  return document;
+}
+
+json ServiceDocument() {
   auto call = [](const char* method, const char* part) {
     return json{{"method", method},
                 {"path", std::string("/") + part},
                 {"idempotent", true}};
   };
-  return json{{"name", "load"},
-              {"customer", "load"},
-              {"keys", {{{"label", "load"}, {"sha256", Sha256Hex(kKey)}}}},
-              {"upstream", "service"},
-              {"regions", {{"permitted", {"east"}}, {"home", "east"}}},
-              {"calls",
-               {call("GET", kOrdinaryPart), call("POST", kOrdinaryPart),
-                call("GET", kLargePart), call("GET", kStalledPart),
-                call("POST", kEndlessPart)}},
-              {"targets", {{"deadline_ms", kCallMs}}},
-              {"limits", {{"body_bytes", kMaxBodyBytes}}}}
-      .dump();
+  json document = CommonDocument("load");
+  document["upstream"] = "service";
+  document["calls"] =
+      json::array({call("GET", kOrdinaryPart), call("POST", kOrdinaryPart),
+                   call("GET", kLargePart), call("GET", kStalledPart),
+                   call("POST", kEndlessPart)});
+  return document;
+}
+
+// A body just below the limit.
+std::string LargeBody() {
+  return std::string(kMaxBodyBytes - 16 * kKilobyte, 'b');
+}
+
+// The same as JSON, whose values take many times as much as their text.
+std::string NestedJson() {
+  std::string body = R"({"model":"m","messages":[],"x":[[])";
+  while (body.size() < kMaxBodyBytes - 16 * kKilobyte) {
+    body += ",[]";
+  }
+  return body + "]}";
 }
 
 }  // namespace
@@ -92,7 +117,12 @@
 void DaemonLoad::AddCallerCases() {
   AddCommonCases(kLimits);
   AddCase("whole-bodies", kLimits,
-          [this] { crowd().SendWholeBodies(kEndlessPart); });
+          [this] { crowd().SendWholeBodies(kEndlessPart, LargeBody()); });
+  AddCase("nested-json", kLimits, [this] {
+    MoveCrowd(ModelCallers());
+    crowd().SendWholeBodies("", NestedJson());
+    WaitUntil([this] { return crowd().HasResponses(); });
+  });
   AddCase("unread-responses", kLimits, [this] {
     crowd().LeaveUnread(kLargePart, 1);
     WaitUntil([this] { return crowd().HasResponses(); });
@@ -194,9 +224,13 @@
   }
 }
 
-bool DaemonLoad::ApplyDocument() const {
-  http::Request request{
-      "PUT", "/v1/documents/load", "base=0&change=load-1", {}, Document()};
+bool DaemonLoad::Apply(const std::string& name,
+                       const std::string& document) const {
+  http::Request request{"PUT",
+                        "/v1/documents/" + name,
+                        "base=0&change=" + name + "-1",
+                        {},
+                        document};
   return http::ExecuteBuffered(At(kAdminPort), request, {}, kMaxBodyBytes)
       .Is(200);
 }
@@ -208,7 +242,8 @@
   }
   Launch(row);
   int64_t until = NowMs() + kReadyMs;
-  while (!ApplyDocument()) {
+  while (!Apply("load", ServiceDocument().dump()) ||
+         !Apply("chat", ModelDocument().dump())) {
     if (NowMs() > until) {
       return false;
     }
@@ -234,6 +269,16 @@
           }};
 }
 
+CrowdTarget DaemonLoad::ModelCallers() const {
+  return {ip_, PortAt(kCallerPort),
+          [](const std::string& method, const std::string&) {
+            return method +
+                   " /v1/chat/completions HTTP/1.1\r\nHost: load\r\n"
+                   "Basilvalve-Service: chat\r\nAuthorization: Bearer " +
+                   kKey + "\r\n";
+          }};
+}
+
 CrowdTarget DaemonLoad::Admin() const {
   return {ip_, PortAt(kAdminPort),
           [](const std::string& method, const std::string&) {
--- a/Source/BasilvalveProcessSoak/daemon_load.h
+++ b/Source/BasilvalveProcessSoak/daemon_load.h
@@ -41,7 +41,8 @@
   void AddOtherCases();
   bool StartStandIns();
   void Launch(const Case& row);
-  bool ApplyDocument() const;
+  bool Apply(const std::string& name, const std::string& document) const;
+  CrowdTarget ModelCallers() const;
   CrowdTarget Admin() const;
   http::Endpoint At(int offset) const { return {ip_, PortAt(offset)}; }
   uint16_t PortAt(int offset) const {
--- a/Source/Core/Gateway/filters.cc
+++ b/Source/Core/Gateway/filters.cc
@@ -1,7 +1,8 @@
 #include "Core/Gateway/filters.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+
+#include "Core/Gateway/model_request.h"
 
 namespace basilvalve::gateway {
 namespace {
@@ -128,52 +129,19 @@
     if (!call->is_model) {
       return {};
     }
-    nlohmann::json json =
-        nlohmann::json::parse(call->body, nullptr, /*allow_exceptions=*/false);
-    if (!json.is_object()) {
-      return Fail(ResultCode::kMalformedRequest,
-                  "the body is not a JSON object");
-    }
-    Result<void> parsed = ParseModelRequest(json, call);
-    if (!parsed) {
-      return parsed;
+    Result<ModelRequest> request = ModelRequest::Parse(call->body);
+    if (!request) {
+      return tl::make_unexpected(request.error());
     }
+    call->model = std::move(request->model);
+    call->prompt = std::move(request->prompt);
+    call->streaming = request->streaming;
     if (!document.AllowsModel(call->model)) {
       return Fail(ResultCode::kModelNotAllowed,
                   "the document does not permit the model");
     }
     return {};
   }
-
- private:
-  static Result<void> ParseModelRequest(const nlohmann::json& json,
-                                        Call* call) {
-    auto model = json.find("model");
-    auto messages = json.find("messages");
-    if (model == json.end() || !model->is_string()) {
-      return Fail(ResultCode::kMalformedRequest, "model: must be a string");
-    }
-    if (messages == json.end() || !messages->is_array()) {
-      return Fail(ResultCode::kMalformedRequest, "messages: must be an array");
-    }
-    auto stream = json.find("stream");
-    if (stream != json.end() && !stream->is_boolean()) {
-      return Fail(ResultCode::kMalformedRequest,
-                  "stream: must be true or false");
-    }
-    call->streaming = stream != json.end() && stream->get<bool>();
-    call->model = ModelName(model->get<std::string>());
-    for (const nlohmann::json& it : *messages) {
-      auto content = it.is_object() ? it.find("content") : it.end();
-      if (!it.is_object() || content == it.end() || !content->is_string()) {
-        return Fail(ResultCode::kMalformedRequest,
-                    "messages: each needs a text content");
-      }
-      call->prompt += content->get<std::string>();
-      call->prompt += '\n';
-    }
-    return {};
-  }
 };
 
 /// Sets the deadline by which the response must be complete: the document's, or
--- a/Source/Core/Gateway/node_shares.h
+++ b/Source/Core/Gateway/node_shares.h
@@ -7,8 +7,9 @@
 
 namespace basilvalve::gateway {
 
-/// How often the body of a call is in memory: in the call, in its serialized
-/// form while that is sent to an upstream, and once more while that is made.
+/// How often the body of a call is in memory: in the call, once more as the
+/// prompt of a model call, and in its serialized form while that is sent to an
+/// upstream.
 inline constexpr size_t kBodyCopies = 3;
 
 /// What each part of an instance may take.
