--- a/review/standin-2/client.cc
+++ b/review/standin-2/client.cc
@@ -1,6 +1,8 @@
 #include "client.h"
 
+#include <cstdio>
 #include <cstdlib>
+#include <functional>
 
 namespace review {
 
@@ -11,11 +13,18 @@
       "\r\nX-Deadline-Ms: " + std::to_string(request.limit_ms) + "\r\n";
   if (request.tokens_in > 0) {
     int shared = request.tokens_in / 4;
+    std::string prompt = request.prompt;
+    if (prompt.empty()) {
+      char own[24];
+      snprintf(own, sizeof(own), "%zx", std::hash<std::string>()(request.id));
+      prompt = "a" + std::to_string(request.subject) + ":" +
+               std::to_string(shared) + "," + own + ":" +
+               std::to_string(request.tokens_in - shared);
+    }
     text +=
         "X-Model: m\r\nX-Token-Usage: " + std::to_string(request.tokens_in) +
-        "," + std::to_string(request.tokens_out) + "\r\nX-Prompt-Prefix: a" +
-        std::to_string(request.subject) + ":" + std::to_string(shared) + "," +
-        request.id + ":" + std::to_string(request.tokens_in - shared) + "\r\n";
+        "," + std::to_string(request.tokens_out) +
+        "\r\nX-Prompt-Prefix: " + prompt + "\r\n";
   }
   return text + "Content-Length: 4\r\n\r\nbody";
 }
--- a/review/standin-2/client.h
+++ b/review/standin-2/client.h
@@ -19,6 +19,8 @@
   int tokens_out = 0;
   /// Names the shared part of its prompt.
   int subject = 0;
+  /// Of a model call; instead of what follows from the subject.
+  std::string prompt = {};
 };
 
 std::string TextOf(const Request& request);
