--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
-exec "$(dirname "$0")/../play-2.sh" 10 endless
+exec "$(dirname "$0")/../play-2.sh" 10 deadly
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -23,6 +23,7 @@
 int PlayUnframed(const CaseSettings& settings);
 int PlayEndless(const CaseSettings& settings);
 int PlayCrashLoop(const CaseSettings& settings);
+int PlayDeadly(const CaseSettings& settings);
 int PlayFreeze(const CaseSettings& settings);
 
 }  // namespace review
--- a/review/standin-2/deployment.cc
+++ b/review/standin-2/deployment.cc
@@ -59,7 +59,7 @@
     std::string id;
     int64_t at_ms = 0;
     while (in >> word >> id >> at_ms) {
-      record_->LineAt(at_ms, "run " + id + " at " + worker);
+      record_->LineAt(at_ms, word + " " + id + " at " + worker);
     }
   }
 }
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -49,6 +49,7 @@
   }
   const std::map<std::string, int (*)(const CaseSettings&)> cases = {
       {"freeze", &PlayFreeze},
+      {"deadly", &PlayDeadly},
       {"crashloop", &PlayCrashLoop},
       {"unframed", &PlayUnframed},
       {"endless", &PlayEndless}};
--- a/review/standin-2/worker.cc
+++ b/review/standin-2/worker.cc
@@ -145,6 +145,14 @@
               is_slow ? behaviour_.Number("first", interval) : interval)) {
       return false;
     }
+    std::string deadly = behaviour_.Text("deadly", "");
+    if (!deadly.empty() &&
+        request.Field("x-prompt-prefix").find(deadly + ":") !=
+            std::string::npos) {
+      printf("crash %s %lld\n", id.c_str(), static_cast<long long>(NowMs()));
+      fflush(stdout);
+      _exit(1);
+    }
     for (int64_t i = after + 1; i <= events; ++i) {
       if (endless_at > 0 && UnixMs() >= endless_at) {
         return GoOnWithoutEnd(channel, write, i);
--- a/review/standin-2/worker.h
+++ b/review/standin-2/worker.h
@@ -10,6 +10,8 @@
 ///   events=N interval=MS                      of streams
 ///   first=MS first_for=MS                     until its first event, for so
 ///       long after the start of the worker
+///   deadly=PART                               a prompt part at whose first
+///       event the process ends
 ///   work=MS                                   of plain requests
 ///   endless_at=UNIX_MS endless_rate=BYTES     from then on, a running stream
 ///       goes on with an event that does not end, at that rate a second
