--- a/review/standin-2/crashloop.cc
+++ b/review/standin-2/crashloop.cc
@@ -1,5 +1,6 @@
-// The model workers of a region crash, start again under their ids, crash once
-// more while they begin their first answers, and are sound from then on.
+// The workers of a zone go down and come back together, cold and under their
+// ids, do so once more while they begin their first answers, and are sound from
+// then on.
 #include <fstream>
 
 #include "cases.h"
@@ -9,11 +10,12 @@
 namespace {
 
 constexpr int64_t kDownMs = 4500;
-// Streams end with their channel. A worker that has just started is slow.
+// Streams end with their channel. A worker that has just started is cold, and
+// slow.
 constexpr const char* kBehaviour =
-    "framing=unframed events=3 interval=80 first=1500 first_for=6000";
+    "framing=unframed events=3 interval=80 cold=3000 first=2000 first_for=6000";
 constexpr int64_t kAwaitRunsMs = 15'000;
-constexpr int64_t kIntoAnswerMs = 300;
+constexpr int64_t kIntoAnswerMs = 100;
 
 int RunsIn(const std::string& path) {
   std::ifstream in(path);
@@ -52,22 +54,25 @@
   for (WorkerPlace& it : workers) {
     watch.deployment().StartWorker(&it);
   }
-  // Each of them crashes while it begins its first two answers.
-  std::vector<bool> is_killed(workers.size(), false);
-  size_t left = workers.size();
-  for (int64_t until = NowMs() + kAwaitRunsMs; left > 0 && NowMs() < until;) {
-    SleepMs(20);
+  // They crash together while each begins its first two answers.
+  auto have_begun = [&] {
     for (size_t i = 0; i < workers.size(); ++i) {
-      if (!is_killed[i] && runs_of(workers[i]) >= before[i] + 2) {
-        SleepMs(kIntoAnswerMs);
-        kill_worker(workers[i]);
-        is_killed[i] = true;
-        --left;
+      if (runs_of(workers[i]) < before[i] + 2) {
+        return false;
       }
     }
+    return true;
+  };
+  int64_t until = NowMs() + kAwaitRunsMs;
+  while (!have_begun()) {
+    if (NowMs() > until) {
+      return kCannotRun;
+    }
+    SleepMs(20);
   }
-  if (left > 0) {
-    return kCannotRun;
+  SleepMs(kIntoAnswerMs);
+  for (const WorkerPlace& it : workers) {
+    kill_worker(it);
   }
   SleepMs(kDownMs);
   for (WorkerPlace& it : workers) {
--- a/review/standin-2/deployment.cc
+++ b/review/standin-2/deployment.cc
@@ -248,7 +248,7 @@
   return {{"name", name},
           {"health_path", "/healthz"},
           {"max_connections", 360},
-          {"cold_start_s", 0.0},
+          {"cold_start_s", 3.0},
           {"cold_per_s", 2.4},
           {"engine",
            {{"slots", 64},
@@ -303,14 +303,14 @@
 }
 
 std::string EntryOf(const WorkerPlace& place, int64_t born_ms,
-                    uint64_t sequence, const std::string& state) {
+                    uint64_t sequence, int64_t cold_remaining_ms) {
   return json{{"service", place.service},
               {"address", AddressText(place.ip, place.port)},
               {"zone", place.zone},
               {"version", "v1"},
               {"slots", place.slots},
-              {"state", state},
-              {"cold_remaining_ms", 0},
+              {"state", "ready"},
+              {"cold_remaining_ms", cold_remaining_ms},
               {"sequence", sequence},
               {"born", born_ms}}
       .dump();
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -105,7 +105,7 @@
 
 /// The entry of a worker in the store, and how the worker writes it.
 std::string EntryOf(const WorkerPlace& place, int64_t born_ms,
-                    uint64_t sequence, const std::string& state);
+                    uint64_t sequence, int64_t cold_remaining_ms);
 bool WriteEntry(const std::string& store_ip, int store_port,
                 const std::string& key, const std::string& value);
 
--- a/review/standin-2/worker.cc
+++ b/review/standin-2/worker.cc
@@ -55,12 +55,17 @@
     }
     for (uint64_t n = 1;; ++n) {
       WriteEntry("127.0.0.1", store_port_, "servers/" + place_.id,
-                 EntryOf(place_, born_ms_, n, "ready"));
+                 EntryOf(place_, born_ms_, n, ColdLeft()));
       SleepMs(kHeartbeatMs);
     }
   }
 
  private:
+  int64_t ColdLeft() const {
+    return std::max<int64_t>(
+        0, born_ms_ + behaviour_.Number("cold", 0) - UnixMs());
+  }
+
   std::string Head(int status, const std::string& id) const {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
     head += "X-Instance-Id: " + place_.id + "\r\n";
--- a/review/standin-2/worker.h
+++ b/review/standin-2/worker.h
@@ -8,6 +8,7 @@
 /// it. The behaviour is a list of words NAME=VALUE:
 ///   framing=chunked|unframed[:SHARE_PERCENT]  of streams (default chunked)
 ///   events=N interval=MS                      of streams
+///   cold=MS                                   after its start
 ///   first=MS first_for=MS                     until its first event, for so
 ///       long after the start of the worker
 ///   deadly=PART                               a prompt part at whose first
