Log and metrics: the learned speeds behind a refused model call

Cause: an operator who sees no_capacity could not tell whether the time per token was too high, the expected output too long or the tolerated time too short: the log had only their ratio, and no metric showed what was learned. Change: no_capacity says predicted_time_per_token_us; two gauges for each service with model calls, time per token and prefill tokens per second.

--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -29,6 +29,8 @@
       .With("service", context.service.value())
       .With("input_tokens", params.size.tokens_in)
       .With("predicted_first_byte_ms", InMillis(decision.forecast.first_byte))
+      .With("predicted_time_per_token_us",
+            static_cast<int64_t>(decision.forecast.time_per_token_us))
       // Percent of the longest time per token that calls of every rank
       // tolerate.
       .With("predicted_time_per_token_percent",
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -117,6 +117,16 @@
           .Name("basilvalve_edge_slowness")
           .Help("Highest slowness of a service's upstreams; 1 is usual.")
           .Register(registry);
+  prometheus::Family<prometheus::Gauge>& time_per_token =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_time_per_token_seconds")
+          .Help("Learned time of a service's upstreams per generated token.")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& prefill_rate =
+      prometheus::BuildGauge()
+          .Name("basilvalve_edge_prefill_tokens_per_second")
+          .Help("Learned speed at which a service's upstreams read prompts.")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& bytes_lost =
       prometheus::BuildCounter()
           .Name("basilvalve_edge_bytes_lost_total")
@@ -257,6 +267,15 @@
   impl_->slowness.Add({{"service", std::string(service)}}).Set(slowness);
 }
 
+void EdgeMetrics::SetModelSpeed(std::string_view service,
+                                double time_per_token_us,
+                                double prefill_tokens_per_ms) {
+  impl_->time_per_token.Add({{"service", std::string(service)}})
+      .Set(time_per_token_us / 1e6);
+  impl_->prefill_rate.Add({{"service", std::string(service)}})
+      .Set(prefill_tokens_per_ms * 1e3);
+}
+
 void EdgeMetrics::CountBytesLost(uint64_t unwritten, uint64_t discarded) {
   impl_->bytes_lost.Add({{"kind", "unwritten"}})
       .Increment(static_cast<double>(unwritten));
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -59,6 +59,9 @@
   /// of its upstreams.
   void SetServiceSpeed(std::string_view service, Micros service_time,
                        double slowness);
+  /// Sets the learned speeds of a service with model calls.
+  void SetModelSpeed(std::string_view service, double time_per_token_us,
+                     double prefill_tokens_per_ms);
   /// Counts the bytes that ended with a connection: of responses that were not
   /// written, and of requests that were read and discarded.
   void CountBytesLost(uint64_t unwritten, uint64_t discarded);
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -746,6 +746,10 @@
   for (const auto& [service, speed] : registry_.Speeds(loop_->Now())) {
     metrics_.SetServiceSpeed(service.value(), speed.service_time,
                              speed.highest_slowness);
+    if (speed.time_per_token_us > 0) {
+      metrics_.SetModelSpeed(service.value(), speed.time_per_token_us,
+                             speed.prefill_tokens_per_ms);
+    }
   }
   quota_guard_.Sweep(loop_->Now());
   metrics_.SetConnectionsOpened(upstream_pool_.opened(), peer_pool_.opened());
--- a/Source/Core/Flow/dispatch_policy.cc
+++ b/Source/Core/Flow/dispatch_policy.cc
@@ -75,6 +75,7 @@
       forecast.first_byte +
       Micros(static_cast<int64_t>(remote.capacity.time_per_token_us *
                                   input.output_tokens));
+  forecast.time_per_token_us = remote.capacity.time_per_token_us;
   forecast.time_per_token_ratio =
       input.max_time_per_token_us > 0
           ? remote.capacity.time_per_token_us / input.max_time_per_token_us
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -253,6 +253,7 @@
   forecast.first_byte = Micros(static_cast<int64_t>(first_byte_us));
   forecast.finish = Micros(static_cast<int64_t>(
       first_byte_us + expected_time_per_token_us * request.output_tokens));
+  forecast.time_per_token_us = expected_time_per_token_us;
   forecast.time_per_token_ratio =
       expected_time_per_token_us / profile.MaxTimePerTokenUs();
   if (Micros longest = profile.LongestLimit(); longest > Micros::zero()) {
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -57,8 +57,10 @@
   Micros own_prefill_time{0};
   /// Prompt tokens of other calls that are prefilled first.
   double queued_prefill_tokens = 0;
-  /// Time per generated token, relative to the longest at which calls of every
-  /// rank still meet their time limits.
+  /// Time per generated token, in microseconds.
+  double time_per_token_us = 0;
+  /// The same relative to the longest at which calls of every rank still meet
+  /// their time limits.
   double time_per_token_ratio = 0;
   /// Total delay that the call's prefill adds to the calls that are running
   /// there, relative to the longest time limit of any rank.
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -311,6 +311,10 @@
       speed.service_time = Micros(static_cast<int64_t>(
           it->second.service_time.At(kInitialServiceTimeUs, now)));
     }
+    if (it != profiles_.end() && !it->second.rank_profiles.empty()) {
+      speed.time_per_token_us = it->second.time_per_token_us;
+      speed.prefill_tokens_per_ms = it->second.prefill_tokens_per_ms;
+    }
   }
   return speeds;
 }
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -75,6 +75,11 @@
   Micros service_time{0};
   /// Highest slowness of its upstreams.
   double highest_slowness = 0;
+  /// Expected time per generated token, in microseconds; zero without model
+  /// calls.
+  double time_per_token_us = 0;
+  /// Expected prefill throughput of one engine; zero without model calls.
+  double prefill_tokens_per_ms = 0;
 };
 
 /// Shared prompt parts that an upstream added to its cache.
