--- a/Source/Core/Edge/edge_components.h
+++ b/Source/Core/Edge/edge_components.h
@@ -13,6 +13,7 @@
 #include "Core/Flow/dispatch_policy.h"
 #include "Core/Flow/dispatcher_set.h"
 #include "Core/Flow/fleet_retry_budget.h"
+#include "Core/Flow/pause_detector.h"
 #include "Core/Flow/send_limiter.h"
 
 namespace basilvalve::edge {
@@ -38,6 +39,7 @@
   QuotaGuard* quota_guard = nullptr;
   EdgeMetrics* metrics = nullptr;
   Random* random = nullptr;
+  flow::PauseDetector* pauses = nullptr;
   net::MemoryBudget::Ptr memory;
   /// Called after a peer instance was excluded.
   std::function<void()> on_peer_unreachable;
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -30,6 +30,8 @@
 // An older observation is not reported to the region.
 constexpr Millis kTimePerTokenReportAge{2000};
 constexpr Millis kSweepInterval{500};
+// Shorter pauses barely change what is measured of upstreams.
+constexpr Millis kMinMeasuredPause{200};
 // A timer this late means that the machine or process was stalled.
 constexpr Millis kStallThreshold{1000};
 // Idle connections are closed this long after a drain began. By then callers
@@ -96,7 +98,9 @@
       heartbeat_timer_(loop),
       sweep_timer_(loop),
       drain_timer_(loop),
-      freshness_(loop, &metrics_, settings_.revocation_limit) {
+      freshness_(loop, &metrics_, settings_.revocation_limit),
+      pauses_(kMinMeasuredPause),
+      pause_timer_(loop) {
   // Instances that start together and go through the others in the same order
   // would all be heard at the same moments of each round.
   next_remote_ = Hash64(settings_.self.id.value()) % 1024;
@@ -117,6 +121,7 @@
   components_.quota_guard = &quota_guard_;
   components_.metrics = &metrics_;
   components_.random = &random_;
+  components_.pauses = &pauses_;
   components_.memory = budgets_.memory;
   components_.region_round_trip = settings_.region_round_trip;
 }
@@ -162,6 +167,7 @@
   datagrams_ = std::move(*datagrams);
   SendHeartbeats();
   Sweep();
+  WatchPauses();
   return std::nullopt;
 }
 
@@ -701,6 +707,12 @@
   }
 }
 
+void EdgeNode::WatchPauses() {
+  pauses_.OnTick(loop_->Now());
+  pause_timer_.Set(flow::PauseDetector::kTickInterval,
+                   [this] { WatchPauses(); });
+}
+
 void EdgeNode::LogStall() {
   Instant now = loop_->Now();
   Micros delay = now - last_sweep_at_ - kSweepInterval;
--- a/Source/Core/Edge/edge_node.h
+++ b/Source/Core/Edge/edge_node.h
@@ -153,6 +153,7 @@
   flow::Heartbeat MakeHeartbeat(bool is_for_region);
   bool ReportsUpstream(const flow::Upstream& upstream) const;
   void LogStall();
+  void WatchPauses();
   void LogUnresponsiveInstances();
   void Sweep();
   /// Gives up calls with the part that wait for an upstream's first byte.
@@ -201,6 +202,9 @@
   std::vector<std::string> relayed_heartbeats_;
   CatalogHandlers catalog_handlers_;
   FreshnessMonitor freshness_;
+  // Pauses of this process, which are no time of an upstream.
+  flow::PauseDetector pauses_;
+  net::Timer pause_timer_;
   // Latest version of the desired state among the region's instances, and when
   // it was first seen.
   uint64_t region_state_version_ = 0;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -229,7 +229,8 @@
 
 void Exchange::OnHedgeWon() {
   components_->metrics->CountHedge("won");
-  if (attempt_.number == kFirstAttempt && !attempt_.has_first_byte) {
+  if (attempt_.number == kFirstAttempt && !attempt_.has_first_byte &&
+      IsUpstreamTime(attempt_.sent_at)) {
     components_->hedges->OnFirstByte(
         context_.service, components_->loop->Now() - attempt_.sent_at);
   }
@@ -420,6 +421,12 @@
   RefuseBlocked({part, Micros(0), /*is_probe_due=*/false});
 }
 
+bool Exchange::IsUpstreamTime(Instant since) const {
+  components_->pauses->OnReceived(components_->loop->Now());
+  return attempt_.listening_since <= since &&
+         !components_->pauses->MayContainPause(since);
+}
+
 void Exchange::OnFirstByte() {
   Instant now = components_->loop->Now();
   attempt_.has_first_byte = true;
@@ -427,6 +434,14 @@
   if (!attempt_.upstream) {
     return;
   }
+  if (IsUpstreamTime(attempt_.sent_at)) {
+    LearnFirstByte(now);
+  }
+  attempt_.OnPrefillDone();
+  attempt_.upstream->breaker.OnSuccess();
+}
+
+void Exchange::LearnFirstByte(Instant now) {
   if (attempt_.number == kFirstAttempt &&
       components_->hedges->IsEligible(context_, params_)) {
     components_->hedges->OnFirstByte(context_.service, now - attempt_.sent_at);
@@ -441,8 +456,6 @@
         now - attempt_.sent_at, attempt_.upstream->slowness.At(now));
   }
   attempt_.LearnServiceTime(components_->registry, params_.size, now);
-  attempt_.OnPrefillDone();
-  attempt_.upstream->breaker.OnSuccess();
 }
 
 void Exchange::OnPastStart() {
@@ -509,7 +522,7 @@
   Instant now = components_->loop->Now();
   if (!attempt_.has_first_byte) {
     OnFirstByte();
-  } else if (attempt_.upstream) {
+  } else if (attempt_.upstream && IsUpstreamTime(attempt_.last_event_at)) {
     double tokens = static_cast<double>(splitter_.events() - before) *
                     std::max(1U, context_.traits.tokens_per_event);
     double time_per_token_us =
@@ -852,8 +865,9 @@
     ArmDeadlineTimer();
     return;
   }
-  if (attempt_.is_active && attempt_.upstream && !attempt_.has_first_byte) {
-    attempt_.upstream->breaker.OnFailure(components_->loop->Now());
+  if (attempt_.is_active && attempt_.upstream && !attempt_.has_first_byte &&
+      IsUpstreamTime(attempt_.sent_at)) {
+    attempt_.upstream->breaker.OnFailure(now);
   }
   GiveUp("time_limit");
 }
--- a/Source/Core/Edge/exchange.h
+++ b/Source/Core/Edge/exchange.h
@@ -89,6 +89,11 @@
   /// Header lines of a response to a peer instance; empty for a caller.
   std::string HopLines() const;
   void OnFirstByte();
+  /// Learns from the time that the upstream took until its first byte.
+  void LearnFirstByte(Instant now);
+  /// Whether the time since then is the upstream's: this process ran and read
+  /// from it all the while.
+  bool IsUpstreamTime(Instant since) const;
   /// The upstream has got past the start of its response.
   void OnPastStart();
   /// Refuses a call with a blocked prompt part.
--- a/Source/Core/Edge/freshness_monitor.cc
+++ b/Source/Core/Edge/freshness_monitor.cc
@@ -50,7 +50,7 @@
 
 void FreshnessMonitor::OnDatagram() {
   if (freshness_.has_limit()) {
-    pauses_.OnDatagram(loop_->Now());
+    pauses_.OnReceived(loop_->Now());
   }
 }
 
--- a/Source/Core/Flow/pause_detector.cc
+++ b/Source/Core/Flow/pause_detector.cc
@@ -24,11 +24,15 @@
   ++ticks_since_pause_;
 }
 
-void PauseDetector::OnDatagram(Instant now) { Observe(now); }
+void PauseDetector::OnReceived(Instant now) { Observe(now); }
 
 bool PauseDetector::IsResuming(Instant now) const {
   return resumed_at_ != Instant() &&
          (now - resumed_at_ < kResumeTime || ticks_since_pause_ < kResumeTicks);
 }
 
+bool PauseDetector::MayContainPause(Instant start) const {
+  return resumed_at_ != Instant() && start < resumed_at_ + kResumeTime;
+}
+
 }  // namespace basilvalve::flow
--- a/Source/Core/Flow/pause_detector.h
+++ b/Source/Core/Flow/pause_detector.h
@@ -5,9 +5,9 @@
 
 namespace basilvalve::flow {
 
-/// Tells whether a datagram may have waited in the socket while the process was
-/// frozen, so that what it says about times cannot be relied on. Takes the time
-/// as an argument. Not thread safe.
+/// Tells whether bytes may have waited in a socket while the process was
+/// frozen, so that they say nothing about times. Takes the time as an argument.
+/// Not thread safe.
 class PauseDetector {
  public:
   /// How often OnTick has to be called.
@@ -19,12 +19,16 @@
 
   /// To be called by a timer.
   void OnTick(Instant now);
-  /// To be called for each datagram: it may be handled before the timer that a
-  /// pause has delayed.
-  void OnDatagram(Instant now);
+  /// To be called when bytes arrive: they may be handled before the timer that
+  /// a pause has delayed.
+  void OnReceived(Instant now);
   /// Whether the process has just resumed after a pause, so that datagrams may
   /// be old.
   bool IsResuming(Instant now) const;
+  /// Whether a time measured from `start` until now may contain a pause.
+  /// Bytes that waited in sockets are handled in quick succession, so a time
+  /// that starts just after a pause says nothing either.
+  bool MayContainPause(Instant start) const;
 
  private:
   void Observe(Instant now);
--- a/Source/UnitTests/Core/Flow/state_freshness_test.cc
+++ b/Source/UnitTests/Core/Flow/state_freshness_test.cc
@@ -32,10 +32,10 @@
     CHECK_FALSE(pauses.IsResuming(At(ms)));
   }
   // A pause that is too short.
-  pauses.OnDatagram(At(1700));
+  pauses.OnReceived(At(1700));
   CHECK_FALSE(pauses.IsResuming(At(1700)));
   // The datagram is handled before the timer.
-  pauses.OnDatagram(At(2401));
+  pauses.OnReceived(At(2401));
   CHECK(pauses.IsResuming(At(2401)));
   pauses.OnTick(At(2402));
   pauses.OnTick(At(2502));
@@ -48,7 +48,7 @@
   PauseDetector pauses(Millis(700));
   pauses.OnTick(At(0));
   pauses.OnTick(At(5000));
-  pauses.OnDatagram(At(5500));
+  pauses.OnReceived(At(5500));
   CHECK(pauses.IsResuming(At(5500)));
   pauses.OnTick(At(5600));
   CHECK_FALSE(pauses.IsResuming(At(5600)));
