CONFIG: speeds that refuse all calls are measured again

Cause: a forecast refuses calls by the mean time per token and prefill speed, and only calls that were let through measure them. The plain calls' service time fades; the model calls' speeds did not.

Evidence: the new test failed before for both speeds: 0 of 50 calls served from 12 s after the wrong figure on, none sent; afterwards 45 or more.

Change: flow::Evidence knows how old a mean is. A model call that a forecast refuses is looked at once more with the speeds discounted by their age: in full for a second without measurement, then half of it each second. If it passes, it is sent as a trial, and the speeds count in full again until the trial has measured. The first better measurement replaces an old mean. What other instances are told is no worse than the assumption without measurements once nothing confirms it, so that a region without own upstreams sends again.

Why it works: the discount has no lower bound, so that a trial comes whatever the figure, the sooner the nearer the forecast is to the limit. While calls run, they measure, and nothing is discounted. If the figure was right, one caller at a time gets a late response (15 or fewer in 30 s; the test holds it) and the others are refused at once.

New: event=forecast_tried, basilvalve_edge_forecast_trials_total.

--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -41,6 +41,17 @@
       .With("retry_after_ms", decision.retry_after.count());
 }
 
+void LogTrial(const CallParams& params, const CallContext& context,
+              const flow::Forecast& forecast) {
+  LogEvent(LogLevel::kInfo, "edge", "forecast_tried")
+      .With("request", params.id.value())
+      .With("service", context.service.value())
+      .With("predicted_first_byte_ms", InMillis(forecast.first_byte))
+      .With("predicted_time_per_token_us",
+            static_cast<int64_t>(forecast.time_per_token_us))
+      .With("predicted_finish_ms", InMillis(forecast.finish));
+}
+
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
                 Micros age) {
   LogEvent(LogLevel::kInfo, "edge", "refusal_received")
--- a/Source/Core/Edge/call_log.h
+++ b/Source/Core/Edge/call_log.h
@@ -23,6 +23,10 @@
 void LogCallRejected(const CallParams& params, const CallContext& context,
                      const CallProgress& progress,
                      const flow::DispatchDecision& decision);
+/// Logs a call that is sent although its forecast says that it will be late,
+/// since no call has confirmed the learned speeds for a while. Thread safe.
+void LogTrial(const CallParams& params, const CallContext& context,
+              const flow::Forecast& forecast);
 /// Logs a proof that an attempt did not execute the call, and how long after
 /// the send it came. Thread safe.
 void LogRefusal(const CallParams& params, const net::Endpoint& from, int status,
--- a/Source/Core/Edge/call_planner.cc
+++ b/Source/Core/Edge/call_planner.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Core/Edge/call_log.h"
+
 namespace basilvalve::edge {
 namespace {
 
@@ -81,6 +83,16 @@
   return components->registry->PausedUntil(service, now).value_or(now) - now;
 }
 
+// Whether a call that would be refused for its forecast is sent after all, to
+// find out whether the forecast still holds.
+bool IsTrialDue(EdgeComponents* components, const ServiceName& service,
+                flow::DispatchInput input, Instant now) {
+  input.local = flow::DiscountForecast(
+      *input.local, components->registry->ConfidenceIn(service, now));
+  input.remote_capacities.clear();
+  return flow::DecideDispatch(input).kind == flow::DispatchKind::kLocal;
+}
+
 }  // namespace
 
 Millis PauseRetryAfter(EdgeComponents* components, const ServiceName& service) {
@@ -167,6 +179,13 @@
     }
   }
   plan.decision = flow::DecideDispatch(input);
+  if (input.is_model_call && plan.local && plan.decision.IsTooLate() &&
+      IsTrialDue(components, context.service, input, now)) {
+    LogTrial(params, context, plan.local->forecast);
+    components->metrics->CountTrial();
+    components->registry->OnTrial(context.service, now);
+    plan.decision.kind = flow::DispatchKind::kLocal;
+  }
   if (input.is_model_call && progress.sends == 0 && !context.is_from_peer) {
     components->registry->LearnRefusal(
         context.service, route.priority,
--- a/Source/Core/Edge/edge_metrics.cc
+++ b/Source/Core/Edge/edge_metrics.cc
@@ -107,6 +107,12 @@
           .Name("basilvalve_edge_plain_refusals_total")
           .Help("Plain calls refused by a full upstream or as too late.")
           .Register(registry);
+  prometheus::Counter& trials =
+      prometheus::BuildCounter()
+          .Name("basilvalve_edge_forecast_trials_total")
+          .Help("Calls sent against an old forecast, to measure again.")
+          .Register(registry)
+          .Add({});
   prometheus::Family<prometheus::Gauge>& service_time =
       prometheus::BuildGauge()
           .Name("basilvalve_edge_service_time_seconds")
@@ -260,6 +266,8 @@
   impl_->plain_refusals.Add({{"reason", "late"}}).Increment();
 }
 
+void EdgeMetrics::CountTrial() { impl_->trials.Increment(); }
+
 void EdgeMetrics::SetServiceSpeed(std::string_view service, Micros service_time,
                                   double slowness) {
   impl_->service_time.Add({{"service", std::string(service)}})
--- a/Source/Core/Edge/edge_metrics.h
+++ b/Source/Core/Edge/edge_metrics.h
@@ -55,6 +55,8 @@
   /// Counts a plain call that was refused because its response would have come
   /// after its deadline.
   void CountLateRefusal();
+  /// Counts a call that was sent to find out whether a forecast still holds.
+  void CountTrial();
   /// Sets the learned time of a service's plain calls, and the highest slowness
   /// of its upstreams.
   void SetServiceSpeed(std::string_view service, Micros service_time,
--- a/Source/Core/Edge/edge_node.cc
+++ b/Source/Core/Edge/edge_node.cc
@@ -564,7 +564,8 @@
     queued_prefill_tokens[service] +=
         slowness *
         static_cast<double>(registry_.LoadOf(*upstream, now).prefill_tokens);
-    capacity.time_per_token_us += upstream->time_per_token_us * slowness;
+    capacity.time_per_token_us +=
+        registry_.ReportedTimePerTokenUs(*upstream, now) * slowness;
     if (registry_.PlainSlotTimeOf(service, now) > Micros::zero()) {
       capacity.wait += registry_.PredictPlain(*upstream, now).finish;
     }
@@ -574,7 +575,7 @@
   }
   for (auto& [service, capacity] : heartbeat.service_capacities) {
     capacity.prefill_tokens_per_ms =
-        registry_.ProfileOf(service).prefill_tokens_per_ms;
+        registry_.ReportedPrefillSpeed(service, now);
     capacity.time_per_token_us /= std::max(1U, observed_upstreams[service]);
     capacity.failure_rate /= capacity.upstreams;
     capacity.wait /= capacity.upstreams;
--- a/Source/Core/Edge/exchange.cc
+++ b/Source/Core/Edge/exchange.cc
@@ -453,7 +453,7 @@
       attempt_.forecast.queued_prefill_tokens == 0) {
     components_->registry->LearnPrefillSpeed(
         context_.service, attempt_.forecast.own_prefill_tokens,
-        now - attempt_.sent_at, attempt_.upstream->slowness.At(now));
+        now - attempt_.sent_at, now, attempt_.upstream->slowness.At(now));
   }
   attempt_.LearnServiceTime(components_->registry, params_.size, now);
 }
--- a/Source/Core/Flow/placement.cc
+++ b/Source/Core/Flow/placement.cc
@@ -132,6 +132,28 @@
 
 }  // namespace
 
+Forecast DiscountForecast(const Forecast& forecast,
+                          const SpeedConfidence& confidence) {
+  Forecast discounted = forecast;
+  // Behind other prompts, a call would not measure the prefill speed.
+  if (forecast.queued_prefill_tokens == 0) {
+    Micros time(static_cast<int64_t>(
+        confidence.prefill *
+        static_cast<double>(forecast.own_prefill_time.count())));
+    discounted.first_byte -= forecast.own_prefill_time - time;
+    discounted.own_prefill_time = time;
+  }
+  discounted.finish =
+      discounted.first_byte +
+      Micros(static_cast<int64_t>(
+          confidence.time_per_token *
+          static_cast<double>(
+              (forecast.finish - forecast.first_byte).count())));
+  discounted.time_per_token_us *= confidence.time_per_token;
+  discounted.time_per_token_ratio *= confidence.time_per_token;
+  return discounted;
+}
+
 // Where the shared parts of one prompt are cached.
 struct Placer::PromptLocations {
   /// Upstreams that should cache them if no upstream has all of them, best
--- a/Source/Core/Flow/placement.h
+++ b/Source/Core/Flow/placement.h
@@ -74,6 +74,11 @@
   bool is_reliable = false;
 };
 
+/// The forecast of a model call if learned speeds count as much as `confidence`
+/// says. Thread safe.
+Forecast DiscountForecast(const Forecast& forecast,
+                          const SpeedConfidence& confidence);
+
 /// An upstream chosen for a call.
 struct Placement {
   UpstreamRegistry::Ptr upstream;
--- a/Source/Core/Flow/upstream.h
+++ b/Source/Core/Flow/upstream.h
@@ -13,6 +13,7 @@
 
 #include "Core/Admission/breaker.h"
 #include "Core/Flow/desired_state.h"
+#include "Core/Flow/evidence.h"
 #include "Core/Flow/full_pause.h"
 #include "Core/Flow/queue_estimate.h"
 #include "Core/Flow/service_time.h"
@@ -172,6 +173,7 @@
   /// 0 until observed.
   double time_per_token_us = 0;
   Instant time_per_token_at;
+  Evidence time_per_token_evidence;
   /// When bytes were last received from it on any connection; reset when it
   /// gets a call while idle.
   Instant last_received_at;
--- a/Source/Core/Flow/upstream_registry.cc
+++ b/Source/Core/Flow/upstream_registry.cc
@@ -397,13 +397,47 @@
   // At the usual speed; the forecast applies the slowness at its own time.
   us_per_token /= upstream.slowness.At(now);
   double& own_estimate = upstream.time_per_token_us;
-  own_estimate = own_estimate == 0
-                     ? us_per_token
-                     : own_estimate + kUpstreamTimePerTokenWeight *
-                                          (us_per_token - own_estimate);
+  Evidence& own_evidence = upstream.time_per_token_evidence;
+  bool replaces_own = own_estimate == 0 || (us_per_token < own_estimate &&
+                                            !own_evidence.IsRecent(now));
+  own_estimate +=
+      own_evidence.OnSample(replaces_own, kUpstreamTimePerTokenWeight, now) *
+      (us_per_token - own_estimate);
   upstream.time_per_token_at = now;
-  double& mean = ProfileOf(upstream.record.service).time_per_token_us;
-  mean += kServiceTimePerTokenWeight * (us_per_token - mean);
+  ServiceProfile& profile = ProfileOf(upstream.record.service);
+  double& mean = profile.time_per_token_us;
+  Evidence& evidence = profile.time_per_token_evidence;
+  bool replaces_mean = us_per_token < mean && !evidence.IsRecent(now);
+  mean += evidence.OnSample(replaces_mean, kServiceTimePerTokenWeight, now) *
+          (us_per_token - mean);
+}
+
+SpeedConfidence UpstreamRegistry::ConfidenceIn(const ServiceName& service,
+                                               Instant now) {
+  ServiceProfile& profile = ProfileOf(service);
+  return {profile.prefill_evidence.ConfidenceAt(now),
+          profile.time_per_token_evidence.ConfidenceAt(now)};
+}
+
+void UpstreamRegistry::OnTrial(const ServiceName& service, Instant now) {
+  ServiceProfile& profile = ProfileOf(service);
+  profile.prefill_evidence.OnTrial(now);
+  profile.time_per_token_evidence.OnTrial(now);
+}
+
+double UpstreamRegistry::ReportedPrefillSpeed(const ServiceName& service,
+                                              Instant now) {
+  const ServiceProfile& profile = ProfileOf(service);
+  return profile.IsMeasuredLately(now) ? profile.prefill_tokens_per_ms
+                                       : std::max(profile.prefill_tokens_per_ms,
+                                                  kInitialPrefillTokensPerMs);
+}
+
+double UpstreamRegistry::ReportedTimePerTokenUs(const Upstream& upstream,
+                                                Instant now) const {
+  return upstream.time_per_token_evidence.IsRecent(now)
+             ? upstream.time_per_token_us
+             : std::min(upstream.time_per_token_us, kInitialTimePerTokenUs);
 }
 
 RankProfile& UpstreamRegistry::RankProfileOf(const ServiceName& service,
@@ -452,6 +486,11 @@
   return estimated_tokens > 0 ? std::sqrt(mean * estimated_tokens) : mean;
 }
 
+bool ServiceProfile::IsMeasuredLately(Instant now) const {
+  return prefill_evidence.IsRecent(now) ||
+         time_per_token_evidence.IsRecent(now);
+}
+
 Micros ServiceProfile::LongestLimit() const {
   Micros longest{0};
   for (const auto& [rank, rank_profile] : rank_profiles) {
@@ -475,7 +514,7 @@
 
 void UpstreamRegistry::LearnPrefillSpeed(const ServiceName& service,
                                          double tokens, Micros took,
-                                         double slowness) {
+                                         Instant now, double slowness) {
   ServiceProfile& profile = ProfileOf(service);
   double elapsed_us =
       static_cast<double>(took.count()) - profile.base_latency_us;
@@ -484,8 +523,10 @@
   }
   double measured = std::clamp(tokens * 1000 / elapsed_us * slowness,
                                kMinPrefillTokensPerMs, kMaxPrefillTokensPerMs);
-  profile.prefill_tokens_per_ms +=
-      kSampleWeight * (measured - profile.prefill_tokens_per_ms);
+  double& mean = profile.prefill_tokens_per_ms;
+  bool replaces_mean = measured > mean && !profile.IsMeasuredLately(now);
+  mean += profile.prefill_evidence.OnSample(replaces_mean, kSampleWeight, now) *
+          (measured - mean);
 }
 
 }  // namespace basilvalve::flow
--- a/Source/Core/Flow/upstream_registry.h
+++ b/Source/Core/Flow/upstream_registry.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <vector>
 
+#include "Core/Flow/evidence.h"
 #include "Core/Flow/upstream.h"
 
 namespace basilvalve::flow {
@@ -33,6 +34,7 @@
 
   /// Prefill throughput of one engine, prompt tokens per millisecond.
   double prefill_tokens_per_ms = 0;
+  Evidence prefill_evidence;
   /// Time to the first byte of a response that needs no prefill, in
   /// microseconds.
   double base_latency_us = 0;
@@ -43,6 +45,7 @@
   double mean_prefill_tokens = 0;
   /// Mean time per generated token, in microseconds.
   double time_per_token_us = 0;
+  Evidence time_per_token_evidence;
   /// Time of a plain call at the usual speed of the machines.
   ServiceTime service_time{kServiceTimeWeight};
   /// Keyed by the rank of the route.
@@ -52,6 +55,9 @@
   /// estimate and the mean of the rank, or the latter if the caller gave none.
   /// Callers' estimates are right at the median but often far off.
   double ExpectedOutput(int rank, uint32_t estimated_tokens) const;
+  /// Whether a model call has measured a speed recently. Under load, calls wait
+  /// for each other, so that no prefill is measured.
+  bool IsMeasuredLately(Instant now) const;
   /// The longest time limit of all ranks; zero if there is none.
   Micros LongestLimit() const;
   /// The longest time per token, in microseconds, at which calls of every rank
@@ -69,6 +75,12 @@
   bool is_reliable = false;
 };
 
+/// How much the learned speeds of a service count, each in [0, 1].
+struct SpeedConfidence {
+  double prefill = 1;
+  double time_per_token = 1;
+};
+
 /// What was learned of a service's speed, for metrics.
 struct ServiceSpeed {
   /// Time of a plain call without queueing; zero if none was measured.
@@ -194,7 +206,15 @@
   /// Records that the first event arrived after `took`, with `tokens` to
   /// prefill before it, while work took `slowness` times as long as usual.
   void LearnPrefillSpeed(const ServiceName& service, double tokens, Micros took,
-                         double slowness = 1);
+                         Instant now, double slowness = 1);
+  /// How much the learned speeds count when a call is refused because of them.
+  SpeedConfidence ConfidenceIn(const ServiceName& service, Instant now);
+  /// Records that a call is let through to measure the speeds again.
+  void OnTrial(const ServiceName& service, Instant now);
+  /// The speeds that other instances are told. Those that no call confirms are
+  /// no worse than is assumed without measurements.
+  double ReportedPrefillSpeed(const ServiceName& service, Instant now);
+  double ReportedTimePerTokenUs(const Upstream& upstream, Instant now) const;
 
  private:
   /// Expected time of a plain call there without queueing, in microseconds.
--- a/Source/UnitTests/Core/Edge/learned_speed_test.cc
+++ b/Source/UnitTests/Core/Edge/learned_speed_test.cc
@@ -170,5 +170,113 @@
   CHECK(instance.profile().time_per_token_us <= before);
 }
 
+// An instance whose upstream generates an event each `interval`, called every
+// 100 ms by callers that want four tokens within 4 s.
+class CalledUpstream {
+ public:
+  CalledUpstream(Millis first_event, Millis interval)
+      : fixture_("north", net::TimeSource::kVirtual),
+        first_event_(first_event),
+        interval_(interval) {
+    fixture_.ApplyDesiredState(1, Millis(4000));
+    fixture_.AddUpstream("u1", [this](const Caller& to, const Request& it) {
+      ++sent_;
+      to->Write(Upstream::StreamHead(it));
+      timers_.push_back(std::make_unique<net::Timer>(&fixture_.loop));
+      SendEvent(to, timers_.back().get(), 1);
+    });
+    known_ = fixture_.node->registry().Find(UpstreamId("u1"));
+  }
+
+  // Sends calls for a time. Returns how many of them were served by its end.
+  int CallFor(Millis time) {
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    Instant end = fixture_.loop.Now() + time;
+    while (fixture_.loop.Now() < end) {
+      callers.push_back(fixture_.Call(
+          EdgeFixture::Request("/stream/", "r" + std::to_string(++calls_), "",
+                               "Tokens: 20000\r\nPatience: 4000\r\n")));
+      fixture_.RunFor(Millis(100));
+    }
+    return static_cast<int>(std::count_if(
+        callers.begin(), callers.end(),
+        [](const auto& it) { return Contains(it->text(), "\r\n0\r\n\r\n"); }));
+  }
+  int sent() const { return sent_; }
+  EdgeFixture& fixture() { return fixture_; }
+  flow::UpstreamRegistry& registry() { return fixture_.node->registry(); }
+  flow::Upstream& known() { return *known_; }
+
+ private:
+  void SendEvent(const Caller& to, net::Timer* timer, int id) {
+    timer->Set(id == 1 ? first_event_ : interval_, [this, to, timer, id] {
+      to->Write(Event(id));
+      if (id < 4) {
+        SendEvent(to, timer, id + 1);
+        return;
+      }
+      to->Write("0\r\n\r\n");
+      to->EndResponse(true);
+    });
+  }
+
+  EdgeFixture fixture_;
+  Millis first_event_;
+  Millis interval_;
+  flow::UpstreamRegistry::Ptr known_;
+  std::vector<std::unique_ptr<net::Timer>> timers_;
+  int sent_ = 0;
+  int calls_ = 0;
+};
+
+constexpr double kSlowTokenUs = 5'000'000;
+
+void LearnSlowTokens(CalledUpstream* called) {
+  for (int i = 0; i < 200; ++i) {
+    called->registry().LearnTimePerToken(called->known(), kSlowTokenUs,
+                                         called->fixture().loop.Now());
+  }
+}
+
+void LearnSlowPrefill(CalledUpstream* called) {
+  for (int i = 0; i < 200; ++i) {
+    called->registry().LearnPrefillSpeed(kService, 20'000, Seconds(5),
+                                         called->fixture().loop.Now());
+  }
+}
+
+// Guards against CONFIG: a learned speed refuses all calls for good, as refused
+// calls measure nothing. Recovery may take 12 s.
+TEST_CASE("a learned speed that refuses all calls is measured again") {
+  struct Row {
+    const char* name;
+    void (*learn)(CalledUpstream*);
+  };
+  for (const Row& row : {Row{"time per token", LearnSlowTokens},
+                         Row{"prefill", LearnSlowPrefill}}) {
+    INFO(row.name);
+    CalledUpstream called(Millis(100), Millis(10));
+    row.learn(&called);
+    CHECK(called.CallFor(Millis(500)) == 0);
+    CHECK(called.sent() == 0);
+    called.CallFor(Millis(11'500));
+    CHECK(called.CallFor(Seconds(5)) >= 45);
+  }
+}
+
+// Load: callers of upstreams that are as slow as was measured. Guards against
+// letting them wait for a response that will be late.
+TEST_CASE("only single calls test a forecast that holds") {
+  CalledUpstream called(Millis(100), Millis(2000));
+  LearnSlowTokens(&called);
+  called.CallFor(Seconds(30));
+  CHECK(called.sent() >= 1);
+  // One at a time, not before a second has passed since the last measurement.
+  CHECK(called.sent() <= 15);
+  CHECK(Contains(called.fixture().node->metrics().Text(),
+                 "basilvalve_edge_forecast_trials_total " +
+                     std::to_string(called.sent())));
+}
+
 }  // namespace
 }  // namespace basilvalve::edge
