--- a/Source/Core/Edge/call_log.cc
+++ b/Source/Core/Edge/call_log.cc
@@ -1,5 +1,6 @@
 #include "Core/Edge/call_log.h"
 
+#include <algorithm>
 #include <array>
 #include <cinttypes>
 #include <cstdio>
@@ -9,6 +10,8 @@
 namespace basilvalve::edge {
 namespace {
 
+constexpr size_t kMaxLoggedParts = 64;
+
 int64_t InMillis(Micros time) {
   return std::chrono::floor<Millis>(time).count();
 }
@@ -102,12 +105,13 @@
 void LogLostCall(const RequestId& request, const UpstreamId& upstream,
                  const std::vector<flow::PromptPartId>& parts) {
   std::string text;
-  for (flow::PromptPartId part : parts) {
-    text.append(text.empty() ? "" : ",").append(InHex(part));
+  for (size_t i = 0; i < std::min(parts.size(), kMaxLoggedParts); ++i) {
+    text.append(text.empty() ? "" : ",").append(InHex(parts[i]));
   }
   LogEvent(LogLevel::kWarn, "edge", "upstream_crashed")
       .With("request", request.value())
       .With("upstream", upstream.value())
+      .With("shared_parts", static_cast<int64_t>(parts.size()))
       .With("parts", text);
 }
 
--- a/Source/Core/Flow/poison_tracker.cc
+++ b/Source/Core/Flow/poison_tracker.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <tuple>
 
+#include "Core/Common/hash.h"
+
 namespace basilvalve::flow {
 namespace {
 
@@ -28,13 +31,19 @@
 // One report in so many repeats an older crash, for instances that joined.
 constexpr uint64_t kReportsPerOldCrash = 4;
 
-constexpr size_t kMaxSharedParts = 4;
+// Parts of one crashed call that are recorded.
+constexpr size_t kMaxRecordedParts = 16;
+// A call with more shared parts proves only those that are under evidence, so
+// that it cannot displace what others have proven.
+constexpr size_t kMaxProvenParts = 256;
 constexpr size_t kMaxCallsPerCrash = 8;
 constexpr size_t kMaxCrashedCalls = 128;
-constexpr size_t kMaxSurvivals = 1024;
+constexpr size_t kMaxSurvivals = 8192;
 constexpr size_t kMaxVerdicts = 64;
 constexpr size_t kMaxBegunCalls = 32;
 constexpr size_t kMaxReportedCalls = 20;
+// In all of them together.
+constexpr size_t kMaxReportedParts = 80;
 // Of these, the ones with most evidence are in each report.
 constexpr size_t kMaxCallsInEachReport = 10;
 constexpr size_t kMaxReportedSurvivals = 12;
@@ -53,8 +62,7 @@
 
 std::vector<PromptPartId> SharedPartsOf(const CallSize& size) {
   std::vector<PromptPartId> parts;
-  size_t n = size.parts.empty() ? 0 : size.parts.size() - 1;
-  for (size_t i = n - std::min(n, kMaxSharedParts); i < n; ++i) {
+  for (size_t i = 0; i + 1 < size.parts.size(); ++i) {
     parts.emplace_back(size.parts[i].id);
   }
   return parts;
@@ -65,12 +73,15 @@
                             Instant at) {
   // Those with parts that are under evidence already are kept first, then those
   // with parts that no call has survived.
+  std::set<PromptPartId> recorded = RecordedParts();
   std::vector<std::tuple<uint32_t, size_t, size_t>> order;
   for (size_t i = 0; i < calls.size(); ++i) {
     uint32_t most = 0;
     size_t unproven = 0;
     for (PromptPartId part : calls[i]) {
-      most = std::max(most, EvidenceOf(part).events);
+      if (recorded.contains(part)) {
+        most = std::max(most, EvidenceOf(part).events);
+      }
       unproven += survivals_.contains(part) ? 0 : 1;
     }
     order.emplace_back(most, unproven, i);
@@ -82,12 +93,47 @@
                    });
   order.resize(std::min(order.size(), kMaxCallsPerCrash));
   for (const auto& [events, unproven, i] : order) {
-    AddRecord({crash, upstream, at, calls[i], /*is_own=*/true});
+    AddRecord({crash, upstream, at, MostSuspicious(calls[i]),
+               /*is_own=*/true});
   }
   Trim();
   Update(at);
 }
 
+std::vector<PromptPartId> PoisonTracker::MostSuspicious(
+    const std::vector<PromptPartId>& parts) const {
+  if (parts.size() <= kMaxRecordedParts) {
+    return parts;
+  }
+  // Most evidence first, then those that no call has survived for longest. Of
+  // the rest, all instances choose the same ones.
+  std::set<PromptPartId> recorded = RecordedParts();
+  std::vector<std::tuple<uint32_t, Instant, uint64_t, size_t>> order;
+  for (size_t i = 0; i < parts.size(); ++i) {
+    uint32_t events =
+        recorded.contains(parts[i]) ? EvidenceOf(parts[i]).events : 0;
+    auto survival = survivals_.find(parts[i]);
+    order.emplace_back(
+        std::numeric_limits<uint32_t>::max() - events,
+        survival == survivals_.end() ? Instant::min() : survival->second,
+        Hash64("part", parts[i].value()), i);
+  }
+  std::partial_sort(
+      order.begin(),
+      order.begin() + static_cast<std::ptrdiff_t>(kMaxRecordedParts),
+      order.end());
+  std::vector<size_t> chosen;
+  for (size_t n = 0; n < kMaxRecordedParts; ++n) {
+    chosen.push_back(std::get<3>(order[n]));
+  }
+  std::sort(chosen.begin(), chosen.end());
+  std::vector<PromptPartId> suspicious;
+  for (size_t i : chosen) {
+    suspicious.push_back(parts[i]);
+  }
+  return suspicious;
+}
+
 void PoisonTracker::AddRecord(Record record) {
   if (record.parts.empty()) {
     return;
@@ -158,14 +204,15 @@
   if (begun_calls_.size() > kMaxBegunCalls) {
     begun_calls_.pop_front();
   }
+  std::set<PromptPartId> recorded = RecordedParts();
   for (PromptPartId part : parts) {
-    bool is_recorded = std::any_of(
-        crashed_calls_.begin(), crashed_calls_.end(),
-        [&](const Record& record) { return Contains(record.parts, part); });
+    bool is_recorded = recorded.contains(part);
     if (is_recorded) {
       reported_survivals_[part] = now + kReportFor;
     }
-    AddSurvival(part, now);
+    if (is_recorded || parts.size() <= kMaxProvenParts) {
+      AddSurvival(part, now);
+    }
     if (IsBlocked(part)) {
       Decide(part, /*is_blocked=*/false, now, now);
     }
@@ -224,7 +271,10 @@
         IsExplained(record, part)) {
       continue;
     }
-    auto next = std::next(it);
+    // A part that calls have survived since is no other cause.
+    auto next = std::find_if(
+        std::next(it), record.parts.end(),
+        [&](PromptPartId later) { return record.at > AccusedSince(later); });
     continuations.insert(next == record.parts.end() ? record.crash.value()
                                                     : next->value());
     upstreams.insert(record.upstream);
@@ -288,6 +338,19 @@
   return parts;
 }
 
+std::set<PromptPartId> PoisonTracker::RepeatedParts() const {
+  std::set<PromptPartId> seen;
+  std::set<PromptPartId> repeated;
+  for (const Record& record : crashed_calls_) {
+    for (PromptPartId part : record.parts) {
+      if (!seen.insert(part).second) {
+        repeated.insert(part);
+      }
+    }
+  }
+  return repeated;
+}
+
 size_t PoisonTracker::DepthOf(PromptPartId part) const {
   size_t depth = 0;
   for (const Record& record : crashed_calls_) {
@@ -306,7 +369,7 @@
     // crashes under the parts before it.
     std::optional<PromptPartId> chosen;
     size_t depth = 0;
-    for (PromptPartId part : RecordedParts()) {
+    for (PromptPartId part : RepeatedParts()) {
       PartEvidence evidence = EvidenceOf(part);
       if (IsBlocked(part) || !HasEnoughEvents(evidence)) {
         continue;
@@ -424,7 +487,7 @@
         crashed_calls_.begin(), crashed_calls_.end(), [&](const Record& it) {
           return it.crash == call.crash && it.parts == call.parts;
         });
-    if (is_known || call.parts.size() > kMaxSharedParts) {
+    if (is_known || call.parts.size() > kMaxRecordedParts) {
       continue;
     }
     Record record{call.crash, call.upstream, now - call.age, call.parts,
@@ -500,12 +563,19 @@
   }
   fresh.resize(std::min(fresh.size(), kMaxReportedCalls));
   std::vector<const Record*> records;
+  size_t parts = 0;
+  auto add = [&](const Record* record) {
+    if (parts + record->parts.size() <= kMaxReportedParts) {
+      parts += record->parts.size();
+      records.push_back(record);
+    }
+  };
   for (const auto& [events, record] : fresh) {
-    records.push_back(record);
+    add(record);
   }
   if (!old.empty() && records.size() < kMaxReportedCalls &&
       ++reports_with_old_ % kReportsPerOldCrash == 0) {
-    records.push_back(old[random_.Below(old.size())]);
+    add(old[random_.Below(old.size())]);
   }
   return records;
 }
--- a/Source/Core/Flow/poison_tracker.h
+++ b/Source/Core/Flow/poison_tracker.h
@@ -21,8 +21,7 @@
 /// another id after a crash. Thread safe.
 UpstreamShortId CrashSiteOf(const UpstreamRecord& upstream);
 
-/// Ids of the parts that other calls may share: all but the last, at most four
-/// of them, the last of these. Thread safe.
+/// Ids of the parts that other calls may share: all but the last. Thread safe.
 std::vector<PromptPartId> SharedPartsOf(const CallSize& size);
 
 /// A call that had not got past its first events when its upstream crashed.
@@ -32,7 +31,7 @@
   UpstreamShortId upstream;
   /// Time since the crash.
   Micros age{0};
-  /// Its shared parts, in the order of the prompt.
+  /// Its most suspicious shared parts, in the order of the prompt.
   std::vector<PromptPartId> parts;
 };
 
@@ -147,6 +146,9 @@
     std::vector<PromptPartId> parts;
   };
 
+  /// The parts of a crashed call that are recorded, in the order of the prompt.
+  std::vector<PromptPartId> MostSuspicious(
+      const std::vector<PromptPartId>& parts) const;
   void AddRecord(Record record);
   /// Forgets the weakest evidence beyond the bound.
   void Trim();
@@ -162,6 +164,8 @@
   bool HasContrast(PromptPartId part, const PartEvidence& evidence) const;
   size_t BegunWithout(PromptPartId part, Instant since) const;
   std::set<PromptPartId> RecordedParts() const;
+  /// The parts of more than one crashed call; a single one blocks no part.
+  std::set<PromptPartId> RepeatedParts() const;
   size_t DepthOf(PromptPartId part) const;
   void BlockGuilty(Instant now);
   void Decide(PromptPartId part, bool is_blocked, Instant until, Instant now);
--- a/Source/UnitTests/Core/Edge/poison_test.cc
+++ b/Source/UnitTests/Core/Edge/poison_test.cc
@@ -20,8 +20,9 @@
   return caller.text().find(part) != std::string::npos;
 }
 
+// Whether part 7 is one of the shared parts.
 bool IsDeadly(const Request& request) {
-  return request.head.Find("Parts")->starts_with("1 7 ");
+  return (" " + *request.head.Find("Parts")).find(" 7 ") != std::string::npos;
 }
 
 enum class Failure { kCrash, kReset, kDrainedCrash };
@@ -81,13 +82,14 @@
 
   // Calls without the part, then one with it, until it is refused unsent or
   // `most` of them were made. Returns how many were sent.
-  int Crash(int most) {
+  int Crash(int most, const std::string& sound = kSound,
+            const std::string& deadly = kDeadly) {
     for (int i = 0; i < most; ++i) {
       for (int n = 0; n < 4; ++n) {
-        Call(kSound, "/stream/");
+        Call(sound, "/stream/");
       }
       fixture_.RunFor(Millis(700));
-      if (Call(kDeadly).starts_with("HTTP/1.1 503")) {
+      if (Call(deadly).starts_with("HTTP/1.1 503")) {
         return i;
       }
     }
@@ -129,6 +131,34 @@
   CHECK(poisoned.Call(kSound, "/stream/").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against BUDGET: a deadly part is not looked at because many shared
+// parts follow it.
+TEST_CASE("a deadly part is blocked wherever it stands in a long prompt") {
+  struct Row {
+    const char* name;
+    size_t parts;
+    size_t deadly;
+  };
+  for (const Row& row :
+       {Row{"first of five", 5, 0}, Row{"first of thirty", 30, 0},
+        Row{"in the middle", 30, 15}, Row{"last but one", 30, 28},
+        Row{"last", 30, 29}, Row{"first of a hundred", 100, 0}}) {
+    INFO(row.name);
+    std::string sound = "Parts: ";
+    std::string deadly = "Parts: ";
+    for (size_t i = 0; i < row.parts; ++i) {
+      std::string shared = std::to_string(100 + i) + " ";
+      sound += i == row.deadly ? "8 " : shared;
+      deadly += i == row.deadly ? "7 " : shared;
+    }
+    Poisoned poisoned(Failure::kCrash, 8);
+    CHECK(poisoned.Crash(7, sound, deadly) <= 3);
+    CHECK(poisoned.crashed() <= 4);
+    CHECK(poisoned.Call(deadly, "/stream/").starts_with("HTTP/1.1 503"));
+    CHECK(poisoned.Call(sound, "/stream/").starts_with("HTTP/1.1 200"));
+  }
+}
+
 // Guards against BUDGET: each call with a new deadly part crashes two
 // upstreams.
 TEST_CASE("a call with a part that no call has survived crashes one upstream") {
--- a/Source/UnitTests/Core/Flow/poison_tracker_test.cc
+++ b/Source/UnitTests/Core/Flow/poison_tracker_test.cc
@@ -268,6 +268,72 @@
   CHECK(tracker.EvidenceOf(Part(2)).events == 1);
 }
 
+// Calls with `n` shared parts, of which only the deadly ones never survive.
+std::vector<PromptPartId> LongPrompt(uint64_t n, uint64_t deadly,
+                                     size_t position) {
+  std::vector<PromptPartId> parts;
+  for (uint64_t i = 0; i < n; ++i) {
+    parts.push_back(Part(1000 + i));
+  }
+  parts[position] = Part(deadly);
+  return parts;
+}
+
+TEST_CASE("two deadly parts of long prompts are blocked, sound ones are not") {
+  Instant now = kStart;
+  PoisonTracker tracker;
+  for (uint64_t i = 1; i <= 4; ++i) {
+    for (auto [deadly, position] : {std::pair{7, 0}, std::pair{8, 20}}) {
+      for (uint64_t other = 0; other < 4; ++other) {
+        tracker.OnSurvival(LongPrompt(40, 50 + other, other), now);
+      }
+      now += Millis(700);
+      tracker.OnCrash(CrashId(i * 10 + deadly), UpstreamShortId(i),
+                      {LongPrompt(40, deadly, position)}, now);
+      now += Millis(700);
+    }
+  }
+  for (uint64_t other = 0; other < 4; ++other) {
+    tracker.OnSurvival(LongPrompt(40, 50 + other, other), now);
+  }
+  tracker.Update(now);
+  CHECK(tracker.FindBlocked(LongPrompt(40, 7, 0), now)->part == Part(7));
+  CHECK(tracker.FindBlocked(LongPrompt(40, 8, 20), now)->part == Part(8));
+  CHECK_FALSE(tracker.FindBlocked(LongPrompt(40, 50, 0), now));
+  CHECK(tracker.blocked_parts() == 2);
+}
+
+// Guards against silent cuts: what is beyond a bound counts as proven.
+TEST_CASE("parts beyond the bound of a call are not proven by it") {
+  Instant now = kStart;
+  PoisonTracker tracker;
+  std::vector<PromptPartId> stable = {Part(1), Part(2)};
+  tracker.OnSurvival(stable, now);
+  std::vector<PromptPartId> huge = LongPrompt(5000, 7, 0);
+  tracker.OnSurvival(huge, now);
+  CHECK_FALSE(tracker.AreProven(huge));
+  CHECK(tracker.AreProven(stable));
+}
+
+TEST_CASE("the reports of calls with many parts are bounded") {
+  Instant now = kStart;
+  PoisonTracker tracker;
+  for (uint64_t i = 0; i < 40; ++i) {
+    std::vector<PromptPartId> parts = LongPrompt(300, 7, 299);
+    for (uint64_t n = 0; n < 299; ++n) {
+      parts[n] = Part(10'000 + 1000 * i + n);
+    }
+    tracker.OnCrash(CrashId(i), UpstreamShortId(i), {parts}, now);
+    now += Millis(10);
+  }
+  size_t reported = 0;
+  for (const CrashedCall& call : tracker.MakeReport(now).crashed_calls) {
+    reported += call.parts.size();
+  }
+  CHECK(reported > 0);
+  CHECK(reported <= 80);
+}
+
 TEST_CASE("a call is suspected after an earlier crash, until one survives") {
   Instant now = kStart;
   PoisonTracker tracker;
@@ -288,6 +354,8 @@
   CHECK(SharedPartsOf(size).empty());
   size.parts = {{1, 10}, {2, 10}, {3, 10}};
   CHECK(SharedPartsOf(size) == std::vector<PromptPartId>{Part(1), Part(2)});
+  size.parts.resize(10, {4, 10});
+  CHECK(SharedPartsOf(size).size() == 9);
 }
 
 }  // namespace
