--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -233,6 +233,12 @@
   MemoryUse Memory() const {
     MemoryUse use;
     std::string proc = "/proc/" + std::to_string(pid_);
+    char program[256] = {};
+    // Until it runs the program, the process has the memory of the stand-in.
+    if (readlink((proc + "/exe").c_str(), program, sizeof(program) - 1) <= 0 ||
+        std::string(program).find("basilvalve-gateway") == std::string::npos) {
+      return use;
+    }
     std::ifstream status(proc + "/status");
     for (std::string line; std::getline(status, line);) {
       if (line.rfind("VmRSS:", 0) == 0) use.resident = atof(line.c_str() + 6) * 1024;
