--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -167,6 +167,28 @@
   double sum() const { return resident + unread; }
 };
 
+// Bytes received and not read yet, by the socket's inode, where there are any. The fields before them have
+// fixed widths after the number of the line; most lines are of closed connections and are skipped fast.
+inline std::vector<std::pair<std::string, double>> UnreadBytes() {
+  constexpr size_t kState = 30, kReceived = 42, kDigits = 8;
+  std::vector<std::pair<std::string, double>> out;
+  std::ifstream table("/proc/self/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  while (std::getline(table, line)) {
+    size_t colon = line.find(':');
+    if (colon == std::string::npos || line.size() < colon + kReceived + kDigits) continue;
+    // A listening socket counts its queue of connections there.
+    bool is_listening = line.compare(colon + kState, 2, "0A") == 0;
+    if (is_listening || line.compare(colon + kReceived, kDigits, "00000000") == 0) continue;
+    std::istringstream in(line.substr(colon + kReceived));
+    std::string received, timer, retransmits, uid, timeout, inode;
+    in >> received >> timer >> retransmits >> uid >> timeout >> inode;
+    out.emplace_back(inode, static_cast<double>(strtoul(received.c_str(), nullptr, 16)));
+  }
+  return out;
+}
+
 // One gateway machine of a small deployment.
 class Gateway {
  public:
@@ -253,16 +275,8 @@
       }
       closedir(dir);
     }
-    std::ifstream table(proc + "/net/tcp");
-    std::string line;
-    std::getline(table, line);
-    while (std::getline(table, line)) {
-      std::istringstream in(line);
-      std::string number, local, remote, state, queues, timer, retransmits, uid, timeout, inode;
-      in >> number >> local >> remote >> state >> queues >> timer >> retransmits >> uid >> timeout >> inode;
-      // A listening socket counts its queue of connections there.
-      if (state == "0A" || inodes.count(inode) == 0) continue;
-      use.unread += static_cast<double>(strtoul(queues.substr(queues.find(':') + 1).c_str(), nullptr, 16));
+    for (const auto& [inode, bytes] : UnreadBytes()) {
+      if (inodes.count(inode) > 0) use.unread += bytes;
     }
     return use;
   }
--- a/review/standin-3/slow_readers.cc
+++ b/review/standin-3/slow_readers.cc
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr int kMemoryMb = 260;
-// The larger of both meanings of a megabyte.
-constexpr double kLimitBytes = kMemoryMb * 1048576.0;
+// As the gateway itself reads the setting (Source/Core/Net/machine_limits.h).
+constexpr double kLimitBytes = kMemoryMb * 1e6;
 constexpr int kClients = 560;
 // A client asks again this long after its last request.
 constexpr double kPeriodSeconds = 13;
