--- a/review/standin-3/loop.h
+++ b/review/standin-3/loop.h
@@ -299,17 +299,25 @@
   int port_ = 0;
 };
 
-// A port that nothing listens on at this address now.
-inline int FreePort(const std::string& host) {
-  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  inet_pton(AF_INET, host.c_str(), &at.sin_addr);
-  bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
-  socklen_t size = sizeof(at);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-  close(fd);
-  return ntohs(at.sin_port);
+// The first of `n` ports in a row that are free at this address, below those that the system gives out.
+inline int FreePorts(const std::string& host, int n) {
+  for (int base = 10000 + getpid() % 10000;; base += n) {
+    std::vector<int> taken;
+    for (int port = base; port < base + n; ++port) {
+      int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      sockaddr_in at{};
+      at.sin_family = AF_INET;
+      at.sin_port = htons(static_cast<uint16_t>(port));
+      inet_pton(AF_INET, host.c_str(), &at.sin_addr);
+      if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0) {
+        taken.push_back(fd);
+      } else {
+        close(fd);
+      }
+    }
+    for (int fd : taken) close(fd);
+    if (static_cast<int>(taken.size()) == n) return base;
+  }
 }
 
 }  // namespace review
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -195,16 +195,17 @@
   Gateway(std::string name, std::string ip, std::string zone, std::string region, const json& zones,
           const std::string& store, const std::string& folder, int memory_mb)
       : name_(std::move(name)), ip_(std::move(ip)), folder_(folder) {
-    front_ = FreePort(ip_);
-    int ready = FreePort(ip_);
-    int directory = FreePort(ip_);
-    int internal = FreePort(ip_);
+    constexpr int kInternalPorts = 16;
+    front_ = FreePorts(ip_, 3 + kInternalPorts);
+    int ready = front_ + 1;
+    int directory = front_ + 2;
+    int internal = front_ + 3;
     auto at = [&](int port) { return ip_ + ":" + std::to_string(port); };
     json settings = {
         {"node", name_}, {"role", "gateway"}, {"machine_class", "edge"}, {"serves", {"edge", "directory"}},
         {"ip", ip_}, {"zone", zone}, {"region", region}, {"zones", zones},
         {"listen", {{"front", at(front_)}, {"ready", at(ready)}, {"directory", at(directory)}}},
-        {"internal_ports", {internal, internal + 15}}, {"seeds", json::array()}, {"bootstrap", true},
+        {"internal_ports", {internal, internal + kInternalPorts - 1}}, {"seeds", json::array()}, {"bootstrap", true},
         {"tolerance_member", false},
         {"limits", {{"cpu_share", 0.25}, {"cores", 1}, {"memory_mb", memory_mb}, {"max_fds", 4100},
                     {"link_mbps", 1000.0}, {"disk_mb", 0}}},
--- a/review/standin-3/slow_readers.cc
+++ b/review/standin-3/slow_readers.cc
@@ -13,11 +13,16 @@
 // A client asks again this long after its last request.
 constexpr double kPeriodSeconds = 13;
 constexpr double kSpreadSeconds = 4;
+// Further clients, which read a long plain answer instead of a stream.
+constexpr int kPlainClients = 40;
+constexpr int kPlainBytes = 900000;
 constexpr int kWorkers = 9;
 constexpr int kEventBytes = 2000;
 constexpr int kEvents = 350;
 constexpr double kPlaySeconds = 100;
 constexpr int kEndsToBreak = 3;
+// Every long answer ends so.
+const char* kLastBytes = "0\r\n\r\n";
 const char* kSignature = "3e1b.07.5a2.600.0.c9f2a4d1";
 
 struct Machine {
@@ -67,7 +72,9 @@
     ++runs;
     head += std::string("X-Response-Signature: ") + kSignature + "\r\n";
     if (request.Field("X-Token-Usage").empty()) {
-      channel->connection->Write("HTTP/1.1 200 OK\r\n" + head + "Content-Length: 800\r\n\r\n" + std::string(800, 'x'));
+      size_t size = request.Word(1) == "/balance/1" ? kPlainBytes : 800;
+      channel->connection->Write("HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+                                 std::string(size - 5, 'x') + kLastBytes);
       return;
     }
     channel->connection->Write("HTTP/1.1 200 OK\r\n" + head +
@@ -97,7 +104,7 @@
         out.second.push_back(out.first.size());
         out.first += size + event + "\r\n";
       }
-      out.first += "0\r\n\r\n";
+      out.first += kLastBytes;
       return out;
     }();
     return stream;
@@ -139,6 +146,7 @@
       machines_.push_back(std::move(machine));
     }
     store_->Put("op/config", DesiredState(7, json::array({RouteRow("/report/", "streaming", "basil-serve", 12000, 1200, 2, true),
+                                                          RouteRow("/balance/", "idempotent", "tab-api", 12000, 300, 1, false),
                                                           RouteRow("/settle/", "non_idempotent", "tab-api", 3000, 300, 1, false)}))
                                  .dump());
   }
@@ -186,30 +194,31 @@
 
  private:
   void StartClients(Machine* machine) {
-    for (int i = 0; i < kClients; ++i) {
-      loop_.After(kSpreadSeconds * i / kClients, [this, machine] { StartStream(machine); });
+    for (int i = 0; i < kClients + kPlainClients; ++i) {
+      bool is_plain = i >= kClients;
+      loop_.After(kSpreadSeconds * i / (kClients + kPlainClients), [this, machine, is_plain] { Start(machine, is_plain); });
     }
   }
   // A client that asks for a long answer again and again, on a new channel each time.
-  void StartStream(Machine* machine) {
+  void Start(Machine* machine, bool is_plain) {
     auto connection = Connection::Connect(&loop_, machine->gateway->ip(), machine->gateway->front());
     clients_.insert(connection);
     auto state = std::make_shared<std::string>("no answer");
     double again = Now() + kPeriodSeconds;
-    auto end = [this, machine, connection, state, again](const char* how) {
+    auto end = [this, machine, is_plain, connection, state, again](const char* how) {
       if (clients_.erase(connection) == 0) return;
       ++machine->slow[*state + ", " + how];
       connection->Close();
       // A request that was cut or refused is sent once more soon, as clients do.
       bool is_over = std::string(how) == "whole" || std::string(how) == "time limit";
-      loop_.After(is_over ? std::max(0.5, again - Now()) : 2, [this, machine] { StartStream(machine); });
+      loop_.After(is_over ? std::max(0.5, again - Now()) : 2, [this, machine, is_plain] { Start(machine, is_plain); });
     };
     std::weak_ptr<Connection> weak = connection;
     auto take = [machine, weak, state, end] {
       auto self = weak.lock();
       if (!self) return;
       if (*state == "no answer" && self->in.size() >= 12) *state = self->in.substr(9, 3);
-      bool is_whole = self->in.size() >= 5 && self->in.compare(self->in.size() - 5, 5, "0\r\n\r\n") == 0;
+      bool is_whole = self->in.size() >= 5 && self->in.compare(self->in.size() - 5, 5, kLastBytes) == 0;
       bool is_refused = *state != "200" && *state != "no answer";
       machine->slow_bytes += self->in.size();
       if (self->in.size() > 64) self->in.erase(0, self->in.size() - 64);
@@ -217,9 +226,14 @@
     };
     connection->on_end = [end] { end("cut"); };
     connection->on_read = take;
-    connection->Write("POST /report/1 HTTP/1.1\r\nHost: bars.example\r\nX-Request-Id: " + RequestId() +
-                      "\r\nX-Deadline-Ms: 12000\r\nX-Model: m\r\nX-Token-Usage: 500,80\r\nX-Prompt-Prefix: 5c1e07a2:400," +
-                      RequestId() + ":100\r\nContent-Length: 5\r\n\r\nhello");
+    if (is_plain) {
+      connection->Write("GET /balance/1 HTTP/1.1\r\nHost: bars.example\r\nX-Request-Id: " + RequestId() +
+                        "\r\nX-Deadline-Ms: 12000\r\n\r\n");
+    } else {
+      connection->Write("POST /report/1 HTTP/1.1\r\nHost: bars.example\r\nX-Request-Id: " + RequestId() +
+                        "\r\nX-Deadline-Ms: 12000\r\nX-Model: m\r\nX-Token-Usage: 500,80\r\nX-Prompt-Prefix: 5c1e07a2:400," +
+                        RequestId() + ":100\r\nContent-Length: 5\r\n\r\nhello");
+    }
     loop_.After(12.0, [end] { end("time limit"); });
     if (is_trouble_) {
       connection->SetReading(false);
